--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,17 @@
+//! Ids, sizes, rates and the clock shared by every part.
+
+mod clock;
+mod id;
+mod key;
+mod number;
+mod quantity;
+mod sorted;
+
+pub use clock::{Clock, ManualClock, SystemClock, from_millis, to_millis};
+pub use id::{
+    AppendId, BatchName, CustomerName, EndpointName, EntryId, Incarnation, NameError, Site,
+};
+pub use key::{JobId, JobKey, KeyError, TaskId};
+pub use number::{Epoch, MemberVersion, NumberError, Offset, RANGES, RangeId, TaskIndex, Version};
+pub use quantity::{ByteSize, Percent, QuantityError, parse_duration};
+pub use sorted::SortedMap;
