--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,18 @@
+//! Admission, fair shares, credits and placement.
+//!
+//! An agent hands out credits, each the permission to send it one task. Tasks wait at their owner in
+//! a fair queue until a credit is there, so that none is bounced and little waits at a slow worker.
+
+mod admission;
+mod allotment;
+mod credit;
+mod estimate;
+mod fair_queue;
+mod placement;
+
+pub use admission::{Admission, Limits, Refusal};
+pub use allotment::allotment;
+pub use credit::CreditIssuer;
+pub use estimate::Estimates;
+pub use fair_queue::FairQueue;
+pub use placement::{Capacity, Need, Placement};
--- /dev/null
+++ b/crates/policy/src/placement.rs
@@ -0,0 +1,185 @@
+//! Which agent a task goes to.
+
+use std::time::Duration;
+
+use cowslipwing_types::{Incarnation, SortedMap};
+
+/// Weight of a new observation of an endpoint's speed.
+const LEARNING_RATE: f64 = 0.1;
+/// Failures in a row after which an endpoint is on probation.
+const PROBATION_FAILURES: u32 = 5;
+/// Tasks that an endpoint on probation may hold at once.
+const PROBATION_TASKS: u32 = 1;
+
+/// What a task needs of its endpoint.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Need {
+    /// Processor cores.
+    pub cores: u32,
+    /// Memory in MB.
+    pub memory_mb: u32,
+}
+
+/// What an endpoint has.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Capacity {
+    /// Processor cores.
+    pub cores: u32,
+    /// Memory in MB.
+    pub memory_mb: u32,
+    /// Tasks it runs at once.
+    pub slots: u32,
+}
+
+impl Capacity {
+    /// Tells whether a task fits at all.
+    pub fn fits(&self, need: Need) -> bool {
+        need.cores <= self.cores && need.memory_mb <= self.memory_mb
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Agent {
+    capacity: Capacity,
+    credits: u32,
+    running: u32,
+    /// Actual run time divided by the estimate.
+    slowness: f64,
+    failures: u32,
+    leaving: bool,
+}
+
+impl Agent {
+    fn may_take(&self, need: Need) -> bool {
+        let on_probation = self.failures >= PROBATION_FAILURES;
+        let probation_full = on_probation && self.running >= PROBATION_TASKS;
+        self.credits > 0 && !self.leaving && !probation_full && self.capacity.fits(need)
+    }
+}
+
+/// The agents that an owner can send to, with their credits.
+///
+/// # Examples
+///
+/// ```
+/// use cowslipwing_policy::{Capacity, Need, Placement};
+///
+/// let agent = "agent-1".parse().unwrap();
+/// let mut placement = Placement::default();
+/// placement.set_agent(&agent, Capacity { cores: 4, memory_mb: 1024, slots: 4 }, false);
+/// placement.on_credits(&agent, 1);
+/// assert_eq!(placement.choose(Need::default(), |_| true), Some(agent));
+/// assert_eq!(placement.choose(Need::default(), |_| true), None);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Placement {
+    agents: SortedMap<Incarnation, Agent>,
+}
+
+impl Placement {
+    /// Adds an agent or changes what it has.
+    pub fn set_agent(&mut self, id: &Incarnation, capacity: Capacity, leaving: bool) {
+        let agent = self.agents.get_or_insert_with(id.clone(), || Agent {
+            capacity,
+            credits: 0,
+            running: 0,
+            slowness: 1.0,
+            failures: 0,
+            leaving,
+        });
+        agent.capacity = capacity;
+        agent.leaving = leaving;
+    }
+
+    /// Forgets an agent.
+    pub fn remove(&mut self, id: &Incarnation) {
+        self.agents.remove(id);
+    }
+
+    /// Adds credits from an agent.
+    pub fn on_credits(&mut self, id: &Incarnation, credits: u32) {
+        if let Some(agent) = self.agents.get_mut(id) {
+            agent.credits += credits;
+        }
+    }
+
+    /// Voids the credits of an agent whose connection is gone.
+    pub fn void_credits(&mut self, id: &Incarnation) {
+        if let Some(agent) = self.agents.get_mut(id) {
+            agent.credits = 0;
+        }
+    }
+
+    /// Returns the credits of an agent that are not needed.
+    pub fn take_credits(&mut self, id: &Incarnation) -> u32 {
+        self.agents.get_mut(id).map_or(0, |agent| std::mem::take(&mut agent.credits))
+    }
+
+    /// Returns the credits held and tasks running at an agent.
+    pub fn load(&self, id: &Incarnation) -> (u32, u32) {
+        self.agents.get(id).map_or((0, 0), |agent| (agent.credits, agent.running))
+    }
+
+    /// Tells whether a task fits an agent that is not leaving.
+    pub fn fits_any(&self, need: Need) -> bool {
+        self.agents.values().any(|agent| !agent.leaving && agent.capacity.fits(need))
+    }
+
+    /// Returns the slots of all agents that are not leaving.
+    pub fn slots(&self) -> u32 {
+        let present = self.agents.values().filter(|agent| !agent.leaving);
+        present.map(|agent| agent.capacity.slots).sum()
+    }
+
+    /// Tells whether an agent can take some task now.
+    pub fn can_take<F>(&self, need: Need, usable: F) -> bool
+    where
+        F: Fn(&Incarnation) -> bool,
+    {
+        self.agents.iter().any(|(id, agent)| agent.may_take(need) && usable(id))
+    }
+
+    /// Chooses the agent that is expected to answer first, and uses one of its credits.
+    pub fn choose<F>(&mut self, need: Need, usable: F) -> Option<Incarnation>
+    where
+        F: Fn(&Incarnation) -> bool,
+    {
+        let wait = |agent: &Agent| {
+            let slots = agent.capacity.slots.max(1);
+            let turns = 1 + agent.running / slots;
+            (agent.slowness * f64::from(turns), f64::from(agent.running) / f64::from(slots))
+        };
+        let (id, agent) = self
+            .agents
+            .iter_mut()
+            .filter(|(id, agent)| agent.may_take(need) && usable(id))
+            .min_by(|a, b| wait(a.1).partial_cmp(&wait(b.1)).expect("waits are finite"))?;
+        agent.credits -= 1;
+        agent.running += 1;
+        Some(id.clone())
+    }
+
+    /// Notes that a task has left an agent without having run.
+    pub fn on_returned(&mut self, id: &Incarnation) {
+        if let Some(agent) = self.agents.get_mut(id) {
+            agent.running = agent.running.saturating_sub(1);
+        }
+    }
+
+    /// Learns from a task that ended at an agent.
+    pub fn on_end(&mut self, id: &Incarnation, expected: Duration, run_time: Duration, ok: bool) {
+        let Some(agent) = self.agents.get_mut(id) else {
+            return;
+        };
+        agent.running = agent.running.saturating_sub(1);
+        if !ok {
+            agent.failures = agent.failures.saturating_add(1);
+            return;
+        }
+        agent.failures = 0;
+        if !expected.is_zero() {
+            let slowness = run_time.as_secs_f64() / expected.as_secs_f64();
+            agent.slowness += LEARNING_RATE * (slowness - agent.slowness);
+        }
+    }
+}
