--- a/crates/claims/src/job.rs
+++ b/crates/claims/src/job.rs
@@ -283,6 +283,15 @@
         }
     }
 
+    /// Tells whether a deadline or the time to stop has passed.
+    pub fn is_due(&self, now: Instant) -> bool {
+        match self.phase {
+            JobPhase::Running => now >= self.deadline,
+            JobPhase::Stopping { until, .. } => now >= until,
+            JobPhase::Complete | JobPhase::Failed { .. } => false,
+        }
+    }
+
     /// Ends the job where its deadline or the time to stop has passed.
     pub fn on_tick(&mut self, now: Instant) {
         match self.phase {
--- /dev/null
+++ b/crates/cli/src/client.rs
@@ -0,0 +1,80 @@
+//! Calls an entry over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cowslipwing_proto::Problem;
+use http_body_util::BodyExt;
+use serde::de::DeserializeOwned;
+use snafu::ResultExt;
+use volo::net::Address;
+use volo_http::body::Body;
+use volo_http::client::{Client, ClientBuilder};
+use volo_http::http::{Method, StatusCode};
+
+use crate::error::{BadAnswerSnafu, CliError, RefusedSnafu};
+
+/// Time in which a connection must be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A client of one entry.
+pub(crate) struct EntryClient {
+    address: SocketAddr,
+    client: Client,
+}
+
+impl EntryClient {
+    /// Returns a client of the entry at an address.
+    pub(crate) fn new(address: SocketAddr) -> Result<Self, CliError> {
+        let mut builder = ClientBuilder::new();
+        builder.set_connect_timeout(CONNECT_TIMEOUT);
+        let client = builder.build().map_err(|error| unreachable_entry(address, &error))?;
+        Ok(Self { address, client })
+    }
+
+    /// Gets a resource.
+    pub(crate) async fn get<T>(&self, path: &str) -> Result<T, CliError>
+    where
+        T: DeserializeOwned,
+    {
+        self.call(Method::GET, path, None, Vec::new()).await
+    }
+
+    /// Sends a request and reads its JSON answer.
+    pub(crate) async fn call<T>(
+        &self,
+        method: Method,
+        path: &str,
+        key: Option<&str>,
+        body: Vec<u8>,
+    ) -> Result<T, CliError>
+    where
+        T: DeserializeOwned,
+    {
+        let mut req = self
+            .client
+            .request(method, format!("http://{}{path}", self.address))
+            .address(Address::from(self.address));
+        if let Some(key) = key {
+            req = req.header("idempotency-key", key);
+        }
+        let sent = req.body(Body::from(body)).send().await;
+        let response = sent.map_err(|error| unreachable_entry(self.address, &error))?;
+        let status = response.status();
+        let collected = response.into_body().collect().await;
+        let bytes = collected.map_err(|error| unreachable_entry(self.address, &error))?.to_bytes();
+        // A failed job comes with a whole answer, which is no refusal.
+        if status.is_success() || status == StatusCode::BAD_GATEWAY {
+            return serde_json::from_slice(&bytes).context(BadAnswerSnafu);
+        }
+        let problem: Problem = serde_json::from_slice(&bytes).context(BadAnswerSnafu)?;
+        RefusedSnafu { problem }.fail()
+    }
+}
+
+fn unreachable_entry<E>(address: SocketAddr, error: &E) -> CliError
+where
+    E: std::fmt::Display,
+{
+    CliError::Unreachable { address, detail: error.to_string() }
+}
--- /dev/null
+++ b/crates/cli/src/cmd.rs
@@ -0,0 +1,9 @@
+//! The subcommands, one module each.
+
+pub(crate) mod batch;
+pub(crate) mod contract;
+pub(crate) mod demo;
+pub(crate) mod endpoint;
+pub(crate) mod job;
+pub(crate) mod settings;
+pub(crate) mod status;
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,78 @@
+//! The command-line tool of cowslipwing.
+//!
+//! Exit codes: 0 success, 1 refused or failed, 2 wrong usage, 3 no entry could be reached.
+
+mod client;
+mod cmd;
+mod error;
+mod output;
+
+use std::process::ExitCode;
+
+use bpaf::{OptionParser, Parser, construct};
+
+use error::CliError;
+
+/// A subcommand with its arguments.
+enum Command {
+    Contract(cmd::contract::Args),
+    Job(cmd::job::Args),
+    Batch(cmd::batch::Args),
+    Endpoint(cmd::endpoint::Args),
+    Settings(cmd::settings::Args),
+    Status(cmd::status::Args),
+    Demo(cmd::demo::Args),
+}
+
+fn options() -> OptionParser<Command> {
+    let contract = cmd::contract::make_subcommand().map(Command::Contract);
+    let job = cmd::job::make_subcommand().map(Command::Job);
+    let batch = cmd::batch::make_subcommand().map(Command::Batch);
+    let endpoint = cmd::endpoint::make_subcommand().map(Command::Endpoint);
+    let settings = cmd::settings::make_subcommand().map(Command::Settings);
+    let status = cmd::status::make_subcommand().map(Command::Status);
+    let demo = cmd::demo::make_subcommand().map(Command::Demo);
+    construct!([contract, job, batch, endpoint, settings, status, demo])
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr(
+            "Publishes contracts, submits and withdraws jobs, and shows the state of cowslipwing",
+        )
+        .footer("Exit codes: 0 success, 1 refused or failed, 2 wrong usage, 3 no entry reached")
+}
+
+fn main() -> ExitCode {
+    let command = match options().run_inner(bpaf::Args::current_args()) {
+        Ok(command) => command,
+        Err(failure) => {
+            const TERMINAL_WIDTH: usize = 100;
+            const USAGE: u8 = 2;
+            failure.print_message(TERMINAL_WIDTH);
+            return if failure.exit_code() == 0 {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::from(USAGE)
+            };
+        }
+    };
+    match run(command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+#[tokio::main]
+async fn run(command: Command) -> Result<(), CliError> {
+    match command {
+        Command::Contract(args) => cmd::contract::execute(args).await,
+        Command::Job(args) => cmd::job::execute(args).await,
+        Command::Batch(args) => cmd::batch::execute(args).await,
+        Command::Endpoint(args) => cmd::endpoint::execute(args).await,
+        Command::Settings(args) => cmd::settings::execute(args),
+        Command::Status(args) => cmd::status::execute(args).await,
+        Command::Demo(args) => cmd::demo::execute(args).await,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/announce.rs
@@ -0,0 +1,57 @@
+//! Announces the endpoint to every entry.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cowslipwing_proto::{AnnounceReply, Announcement, Member, peer_client::PeerClient};
+use futures::future::join_all;
+use tokio::time::timeout;
+use tonic::transport::Channel;
+
+use super::state::Shared;
+use crate::net;
+
+/// Time between two announcements.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time in which an entry must answer.
+const ANNOUNCE_LIMIT: Duration = Duration::from_millis(800);
+/// Time between two tries while no entry is known.
+const FIRST_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Announces until the agent stops.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    loop {
+        announce_once(&shared).await;
+        let knows_entries = !members(&shared).is_empty();
+        let pause = if knows_entries { ANNOUNCE_INTERVAL } else { FIRST_INTERVAL };
+        let _ = timeout(pause, shared.announce.notified()).await;
+    }
+}
+
+/// Announces to every entry known, and to the contact where none is.
+pub(crate) async fn announce_once(shared: &Shared) {
+    let announcement =
+        Announcement { leaving: shared.desk().leaving, ..shared.announcement.clone() };
+    let mut addresses: Vec<String> = members(shared).into_iter().map(|member| member.rpc).collect();
+    addresses.push(shared.contact.to_string());
+    addresses.sort();
+    addresses.dedup();
+    let calls = addresses.iter().map(|address| announce_to(address, announcement.clone()));
+    let replies: Vec<AnnounceReply> = join_all(calls).await.into_iter().flatten().collect();
+    // The entry that has followed the log furthest knows the most members that are still there.
+    let newest = replies.iter().max_by_key(|reply| reply.next_offset);
+    if let Some(newest) = newest {
+        *shared.members.lock().expect("no holder of the members panics") = newest.members.clone();
+        shared.set_withdrawn(newest.withdrawn);
+    }
+}
+
+fn members(shared: &Shared) -> Vec<Member> {
+    shared.members.lock().expect("no holder of the members panics").clone()
+}
+
+async fn announce_to(address: &str, announcement: Announcement) -> Option<AnnounceReply> {
+    let mut client: PeerClient<Channel> = PeerClient::new(net::channel(address)?);
+    let reply = timeout(ANNOUNCE_LIMIT, client.announce(announcement)).await;
+    reply.ok()?.ok().map(tonic::Response::into_inner)
+}
--- /dev/null
+++ b/crates/daemon/src/agent/service.rs
@@ -0,0 +1,127 @@
+//! Serves entries.
+
+use std::pin::Pin;
+use std::sync::Arc;
+
+use cowslipwing_proto::agent_server::{Agent, AgentServer};
+use cowslipwing_proto::{FromAgent, SurveyReply, SurveyRequest, ToAgent};
+use cowslipwing_types::EntryId;
+use futures::{Stream, StreamExt};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::{TcpListenerStream, UnboundedReceiverStream};
+use tonic::{Request, Response, Status, Streaming};
+
+use super::state::Shared;
+use crate::convert::{claims_of, holding_to, task_of};
+use crate::net;
+
+/// Reports sent in one batch.
+const BATCH_REPORTS: usize = 256;
+
+/// Serves until the agent stops.
+pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    let service = AgentServer::new(Service { shared })
+        .max_decoding_message_size(net::MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(net::MAX_MESSAGE_BYTES);
+    let server = tonic::transport::Server::builder()
+        .tcp_nodelay(true)
+        .add_service(service)
+        .serve_with_incoming(TcpListenerStream::new(listener));
+    if let Err(error) = server.await {
+        log::error!("agent: the server for entries stopped: {error}.");
+    }
+}
+
+struct Service {
+    shared: Arc<Shared>,
+}
+
+#[tonic::async_trait]
+impl Agent for Service {
+    type DispatchStream = Pin<Box<dyn Stream<Item = Result<FromAgent, Status>> + Send>>;
+
+    async fn dispatch(
+        &self,
+        req: Request<Streaming<ToAgent>>,
+    ) -> Result<Response<Self::DispatchStream>, Status> {
+        let mut batches = req.into_inner();
+        let hello = batches.message().await?.ok_or_else(|| Status::invalid_argument("no hello"))?;
+        if hello.incarnation != self.shared.incarnation.as_str() {
+            return Err(Status::failed_precondition("another incarnation"));
+        }
+        let entry: EntryId = hello.entry.parse().map_err(|_| Status::invalid_argument("entry"))?;
+        let (tx, rx) = mpsc::unbounded_channel();
+        let generation = self.shared.desk().subscribe(&entry, tx);
+        tokio::spawn(take_orders(self.shared.clone(), entry, generation, batches));
+        let batched = UnboundedReceiverStream::new(rx).ready_chunks(BATCH_REPORTS).map(merge);
+        Ok(Response::new(Box::pin(batched)))
+    }
+
+    async fn survey(&self, req: Request<SurveyRequest>) -> Result<Response<SurveyReply>, Status> {
+        let req = req.into_inner();
+        let mut reply = SurveyReply {
+            incarnation: self.shared.incarnation.to_string(),
+            history_from_ms: self.shared.announcement.history_from_ms,
+            ..SurveyReply::default()
+        };
+        if req.incarnation != self.shared.incarnation.as_str() {
+            return Ok(Response::new(reply));
+        }
+        let mut desk = self.shared.desk();
+        for (range, epoch) in claims_of(&req.ranges) {
+            match desk.ledger.survey(range, epoch) {
+                Ok(held) => reply.holdings.extend(held.map(|(task, held)| holding_to(task, held))),
+                Err(_) => reply.fenced.push(range.get()),
+            }
+        }
+        Ok(Response::new(reply))
+    }
+}
+
+/// Merges what is ready into one batch.
+fn merge(ready: Vec<FromAgent>) -> Result<FromAgent, Status> {
+    let mut merged = FromAgent::default();
+    for batch in ready {
+        merged.incarnation = batch.incarnation;
+        merged.credits += batch.credits;
+        merged.reports.extend(batch.reports);
+    }
+    Ok(merged)
+}
+
+async fn take_orders(
+    shared: Arc<Shared>,
+    entry: EntryId,
+    generation: u64,
+    mut batches: Streaming<ToAgent>,
+) {
+    while let Ok(Some(batch)) = batches.message().await {
+        if batch.incarnation == shared.incarnation.as_str() {
+            take_batch(&shared, &entry, batch);
+        }
+    }
+    shared.desk().unsubscribe(&entry, generation);
+}
+
+fn take_batch(shared: &Shared, entry: &EntryId, batch: ToAgent) {
+    let now = shared.now();
+    let mut desk = shared.desk();
+    if batch.returned_credits > 0 {
+        desk.issuer.on_returned(entry, batch.returned_credits);
+    }
+    for start in batch.starts {
+        if let Some(task) = start.task.as_ref().and_then(task_of) {
+            desk.start(now, entry, task, start);
+        }
+    }
+    for task in batch.take_backs.iter().filter_map(|back| back.task.as_ref().and_then(task_of)) {
+        desk.take_back(now, entry, &task);
+    }
+    if batch.demand > 0 {
+        desk.issuer.set_demand(now, entry, batch.demand);
+    }
+    desk.issue_credits(now);
+    drop(desk);
+    shared.work.notify_one();
+}
--- /dev/null
+++ b/crates/daemon/src/convert.rs
@@ -0,0 +1,142 @@
+//! Converts between messages and the types of the pure parts.
+
+use std::time::Duration;
+
+use cowslipwing_claims::{Found, Held, Job, JobPhase, Outcome, Report, Stage, TaskState};
+use cowslipwing_proto as proto;
+use cowslipwing_types::{Epoch, Incarnation, JobId, RangeId, TaskId, TaskIndex};
+
+/// Returns the pairs of a list of ranges.
+pub(crate) fn claims_of(ranges: &[proto::RangeEpoch]) -> Vec<(RangeId, Epoch)> {
+    ranges.iter().map(|r| (RangeId::new(r.range), Epoch::new(r.epoch))).collect()
+}
+
+/// Returns the message of a list of ranges.
+pub(crate) fn claims_to(ranges: &[(RangeId, Epoch)]) -> Vec<proto::RangeEpoch> {
+    ranges.iter().map(|(r, e)| proto::RangeEpoch { range: r.get(), epoch: e.get() }).collect()
+}
+
+/// Returns the numbers of a list of ranges.
+pub(crate) fn ranges_of(numbers: &[u32]) -> Vec<RangeId> {
+    numbers.iter().copied().map(RangeId::new).collect()
+}
+
+/// Reads a task's id.
+pub(crate) fn task_of(id: &proto::TaskId) -> Option<TaskId> {
+    let job = JobId { customer: id.customer.parse().ok()?, key: id.key.parse().ok()? };
+    Some(TaskId { job, index: TaskIndex::new(id.index) })
+}
+
+/// Writes a task's id.
+pub(crate) fn task_to(task: &TaskId) -> proto::TaskId {
+    proto::TaskId {
+        customer: task.job.customer.to_string(),
+        key: task.job.key.to_string(),
+        index: task.index.get(),
+    }
+}
+
+fn stage_of(stage: proto::TaskStage) -> Stage {
+    match stage {
+        proto::TaskStage::Queued => Stage::Queued,
+        proto::TaskStage::Started => Stage::Started,
+        proto::TaskStage::Succeeded => Stage::Succeeded,
+        proto::TaskStage::Errored => Stage::Errored,
+        proto::TaskStage::NotStarted => Stage::NotStarted,
+        proto::TaskStage::Unknown => Stage::Unknown,
+    }
+}
+
+fn stage_to(stage: Stage) -> proto::TaskStage {
+    match stage {
+        Stage::Queued => proto::TaskStage::Queued,
+        Stage::Started => proto::TaskStage::Started,
+        Stage::Succeeded => proto::TaskStage::Succeeded,
+        Stage::Errored => proto::TaskStage::Errored,
+        Stage::NotStarted => proto::TaskStage::NotStarted,
+        Stage::Unknown => proto::TaskStage::Unknown,
+    }
+}
+
+/// Reads an agent's report; a stage unknown to this version counts as unknown.
+pub(crate) fn report_of(report: &proto::TaskReport) -> Report {
+    let stage = proto::TaskStage::try_from(report.stage).unwrap_or(proto::TaskStage::Unknown);
+    Report {
+        stage: stage_of(stage),
+        output: report.output.as_str().into(),
+        run_time: Duration::from_micros(report.run_micros),
+    }
+}
+
+/// Writes an agent's report.
+pub(crate) fn report_to(task: &TaskId, fingerprint: u64, report: &Report) -> proto::TaskReport {
+    proto::TaskReport {
+        task: Some(task_to(task)),
+        stage: stage_to(report.stage) as i32,
+        output: report.output.to_string(),
+        run_micros: u64::try_from(report.run_time.as_micros()).unwrap_or(u64::MAX),
+        fingerprint,
+    }
+}
+
+/// Writes what an agent holds of a task.
+pub(crate) fn holding_to(task: &TaskId, held: &Held) -> proto::TaskReport {
+    report_to(task, held.fingerprint, &held.report)
+}
+
+/// Reads what an agent holds of a task.
+pub(crate) fn found_of(
+    agent: &Incarnation,
+    holding: &proto::TaskReport,
+) -> Option<(TaskId, Found)> {
+    let task = task_of(holding.task.as_ref()?)?;
+    let (agent, fingerprint) = (agent.clone(), holding.fingerprint);
+    Some((task, Found { agent, fingerprint, report: report_of(holding) }))
+}
+
+fn outcome_to(outcome: Outcome) -> proto::TaskOutcome {
+    match outcome {
+        Outcome::Done => proto::TaskOutcome::Done,
+        Outcome::Error => proto::TaskOutcome::Error,
+        Outcome::NotRun => proto::TaskOutcome::NotRun,
+        Outcome::MayHaveRun => proto::TaskOutcome::MayHaveRun,
+    }
+}
+
+fn task_answer<N>(index: u32, state: &TaskState, endpoint_of: &N) -> proto::TaskAnswer
+where
+    N: Fn(&Incarnation) -> String,
+{
+    let named = |agent: &Incarnation| endpoint_of(agent);
+    let (outcome, endpoint, output) = match state {
+        TaskState::Waiting => (proto::TaskOutcome::Pending, String::new(), String::new()),
+        TaskState::Sent { to } => (proto::TaskOutcome::Pending, named(to), String::new()),
+        TaskState::Ended { outcome, agent, output } => (
+            outcome_to(*outcome),
+            agent.as_ref().map(named).unwrap_or_default(),
+            output.to_string(),
+        ),
+    };
+    proto::TaskAnswer { index, outcome: outcome as i32, endpoint, output }
+}
+
+/// Writes the answer of a job as it stands.
+pub(crate) fn answer_to<N>(job: &Job, endpoint_of: N) -> proto::JobAnswer
+where
+    N: Fn(&Incarnation) -> String,
+{
+    let (state, reason) = match job.phase() {
+        JobPhase::Running | JobPhase::Stopping { .. } => (proto::JobState::Running, ""),
+        JobPhase::Complete => (proto::JobState::Complete, ""),
+        JobPhase::Failed { reason } => (proto::JobState::Failed, reason.as_str()),
+    };
+    let tasks = (0..).zip(job.tasks());
+    proto::JobAnswer {
+        customer: job.id().customer.to_string(),
+        key: job.id().key.to_string(),
+        state: state as i32,
+        reason: reason.to_owned(),
+        tasks: tasks.map(|(index, task)| task_answer(index, task, &endpoint_of)).collect(),
+        retry_after_ms: 0,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/append.rs
@@ -0,0 +1,54 @@
+//! Appends records and reads them back.
+
+use std::time::Duration;
+
+use cowslipwing_fold::Outcome;
+use cowslipwing_proto::{Record, record::Body};
+use cowslipwing_types::AppendId;
+use tokio::time::{Instant, timeout, timeout_at};
+
+use super::shared::Shared;
+use crate::api_error::ApiError;
+
+/// Time in which an append must be read back.
+const READ_BACK_LIMIT: Duration = Duration::from_secs(6);
+/// Time between two tries.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Appends a record and returns what it did, as read back from the log.
+///
+/// A reply that is lost does not matter: the record is looked for on the log before another try, and
+/// a record that stands there twice counts once.
+pub(crate) async fn append(shared: &Shared, body: Body) -> Result<Outcome, ApiError> {
+    let id = uuid::Uuid::new_v4().simple().to_string();
+    let record = Record { append_id: id.clone(), body: Some(body) };
+    let id: AppendId = id.parse().expect("hex digits are a name");
+    let limit = Instant::now() + READ_BACK_LIMIT;
+    while Instant::now() < limit {
+        if let Err(error) = shared.log.append(&record).await {
+            log::warn!("log: {error}.");
+        }
+        let read_back = timeout(RETRY_PAUSE, wait_for(shared, &id));
+        if let Ok(Ok(outcome)) = timeout_at(limit, read_back).await {
+            return Ok(outcome);
+        }
+    }
+    Err(ApiError::LogUnavailable)
+}
+
+async fn wait_for(shared: &Shared, id: &AppendId) -> Outcome {
+    loop {
+        let folded = shared.folded.notified();
+        tokio::pin!(folded);
+        folded.as_mut().enable();
+        let outcome = {
+            let followed = shared.followed.read().expect("no holder of the fold panics");
+            followed.outcome(id).cloned()
+        };
+        if let Some(outcome) = outcome {
+            return outcome;
+        }
+        shared.read_log.notify_one();
+        folded.await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/http.rs
@@ -0,0 +1,275 @@
+//! Serves callers and operators over HTTP.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cowslipwing_proto::{Contract, JobAnswer, JobState, JobSubmission, Problem};
+use cowslipwing_types::{ByteSize, JobId, JobKey, Version, from_millis, to_millis};
+use futures::StreamExt;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpListener;
+use tracing::{Instrument, Span, info_span};
+use volo::net::incoming::DefaultIncoming;
+use volo_http::body::Body;
+use volo_http::http::{HeaderMap, StatusCode, Uri};
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::Server;
+use volo_http::server::param::PathParams;
+use volo_http::server::route::{Router, get, post};
+use volo_http::utils::Extension;
+
+use super::forward::{JobRequest, route};
+use super::shared::Shared;
+use super::submission;
+use super::{follow, operate};
+use crate::api_error::ApiError;
+use crate::trace;
+
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+const KEY_CREATED: &str = "idempotency-key-created";
+const TRACEPARENT: &str = "traceparent";
+/// Time in which the log must tell of a contract that this entry does not know yet.
+const CATCH_UP_LIMIT: Duration = Duration::from_millis(500);
+/// Tries to make a key in a range that this entry owns.
+const KEY_TRIES: u32 = 4096;
+
+type State = Extension<Arc<Shared>>;
+type Answered<T> = Result<T, Problem>;
+
+/// Serves until the entry stops.
+pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    let router = Router::new()
+        .route("/v1/jobs", post(submit))
+        .route("/v1/jobs/{customer}/{key}", get(show).delete(withdraw))
+        .route("/v1/contracts", get(list_contracts))
+        .route("/v1/contracts/{customer}", get(show_contract).put(change_contract))
+        .route("/v1/endpoints", get(list_endpoints))
+        .route("/v1/endpoints/{endpoint}/withdraw", post(withdraw_endpoint))
+        .route("/v1/endpoints/{endpoint}/return", post(return_endpoint))
+        .route("/v1/batches/{customer}/{batch}/withdraw", post(withdraw_batch))
+        .route("/v1/status", get(status))
+        .route("/health", get(health))
+        .route("/ready", get(ready))
+        .layer(Extension(shared));
+    let server = Server::new(router).run(DefaultIncoming::from(listener));
+    if let Err(error) = server.await {
+        log::error!("entry: the server for callers stopped: {error}.");
+    }
+}
+
+async fn submit(Extension(shared): State, req: Request) -> Response {
+    let span = info_span!("submit");
+    let headers = req.headers().clone();
+    trace::continue_from(&span, header(&headers, TRACEPARENT).unwrap_or_default());
+    let served = async {
+        let _in_flight = shared.begin_limited_request().map_err(|error| error.problem())?;
+        let checked = read_submission(&shared, &headers, req).await.map_err(|e| e.problem())?;
+        route(&shared, JobRequest::Submit(Box::new(checked))).await
+    };
+    let answer = served.instrument(span).await;
+    shared.metrics.count("entry.submissions", 1);
+    job_response(answer)
+}
+
+async fn read_submission(
+    shared: &Shared,
+    headers: &HeaderMap,
+    req: Request,
+) -> Result<submission::Checked, ApiError> {
+    let submission: JobSubmission = read_json(shared.limits.body, req).await?;
+    let customer = operate::parse_customer(&submission.customer)?;
+    let key = match header(headers, IDEMPOTENCY_KEY) {
+        Some(text) => text.parse()?,
+        None => make_key(shared, &customer),
+    };
+    let made_at = match header(headers, KEY_CREATED) {
+        Some(text) => Some(
+            humantime::parse_rfc3339(text)
+                .map_err(|_| ApiError::BadDeadline { given: text.to_owned() })?,
+        ),
+        None => None,
+    };
+    if submission::terms_of(shared, &customer).is_err() {
+        // Another entry may have published the contract a moment ago.
+        follow::catch_up(shared, CATCH_UP_LIMIT).await;
+    }
+    let traceparent = trace::traceparent_of(&Span::current());
+    submission::check(shared, JobId { customer, key }, made_at, submission, traceparent)
+}
+
+/// Makes a key in a range that this entry serves, where it serves any.
+fn make_key(shared: &Shared, customer: &cowslipwing_types::CustomerName) -> JobKey {
+    let fresh = || JobKey::generate(from_millis(to_millis(shared.clock.wall())));
+    let served = |key: &JobKey| {
+        let job = JobId { customer: customer.clone(), key: key.clone() };
+        let shard = shared.shard(job.range());
+        shard.is_serving() && !shard.draining
+    };
+    (0..KEY_TRIES).map(|_| fresh()).find(served).unwrap_or_else(fresh)
+}
+
+async fn show(
+    Extension(shared): State,
+    PathParams((customer, key)): PathParams<(String, String)>,
+) -> Response {
+    match read_job(&customer, &key) {
+        Ok(job) => job_response(route(&shared, JobRequest::Show(job)).await),
+        Err(error) => problem_response(&error.problem()),
+    }
+}
+
+async fn withdraw(
+    Extension(shared): State,
+    PathParams((customer, key)): PathParams<(String, String)>,
+) -> Response {
+    match read_job(&customer, &key) {
+        Ok(job) => job_response(route(&shared, JobRequest::Withdraw(job)).await),
+        Err(error) => problem_response(&error.problem()),
+    }
+}
+
+async fn list_contracts(Extension(shared): State) -> Response {
+    json_response(StatusCode::OK, &operate::list_contracts(&shared))
+}
+
+async fn show_contract(
+    Extension(shared): State,
+    PathParams(customer): PathParams<String>,
+) -> Response {
+    respond(operate::show_contract(&shared, &customer))
+}
+
+async fn change_contract(
+    Extension(shared): State,
+    PathParams(customer): PathParams<String>,
+    uri: Uri,
+    req: Request,
+) -> Response {
+    let contract: Contract = match read_json(shared.limits.body, req).await {
+        Ok(contract) => contract,
+        Err(error) => return problem_response(&error.problem()),
+    };
+    let base = uri.query().and_then(|query| query.strip_prefix("base=")).unwrap_or("0");
+    let Ok(base) = base.parse::<Version>() else {
+        let detail = format!("base={base}: give the version in force as a number");
+        return problem_response(&ApiError::Malformed { detail }.problem());
+    };
+    respond(operate::change_contract(&shared, &customer, base, contract).await)
+}
+
+async fn list_endpoints(Extension(shared): State) -> Response {
+    json_response(StatusCode::OK, &operate::list_endpoints(&shared))
+}
+
+async fn withdraw_endpoint(
+    Extension(shared): State,
+    PathParams(endpoint): PathParams<String>,
+) -> Response {
+    respond(operate::change_endpoint(&shared, &endpoint, true).await)
+}
+
+async fn return_endpoint(
+    Extension(shared): State,
+    PathParams(endpoint): PathParams<String>,
+) -> Response {
+    respond(operate::change_endpoint(&shared, &endpoint, false).await)
+}
+
+async fn withdraw_batch(
+    Extension(shared): State,
+    PathParams((customer, batch)): PathParams<(String, String)>,
+) -> Response {
+    respond(operate::withdraw_batch(&shared, &customer, &batch).await)
+}
+
+async fn status(Extension(shared): State) -> Response {
+    json_response(StatusCode::OK, &operate::status(&shared))
+}
+
+async fn health() -> &'static str {
+    "ok\n"
+}
+
+async fn ready(Extension(shared): State) -> (StatusCode, &'static str) {
+    if shared.is_ready() {
+        (StatusCode::OK, "ready\n")
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+    }
+}
+
+fn read_job(customer: &str, key: &str) -> Result<JobId, ApiError> {
+    Ok(JobId { customer: operate::parse_customer(customer)?, key: key.parse()? })
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Reads a JSON body, and no more of it than is allowed.
+async fn read_json<T>(limit: ByteSize, req: Request) -> Result<T, ApiError>
+where
+    T: DeserializeOwned,
+{
+    let mut stream = http_body_util::BodyDataStream::new(req.into_body());
+    let mut bytes = Vec::new();
+    while let Some(chunk) = stream.next().await {
+        let chunk = chunk.map_err(|error| ApiError::Malformed { detail: error.to_string() })?;
+        if (bytes.len() + chunk.len()) as u64 > limit.bytes() {
+            return Err(ApiError::BodyTooLarge { limit });
+        }
+        bytes.extend_from_slice(&chunk);
+    }
+    serde_json::from_slice(&bytes)
+        .map_err(|error| ApiError::Malformed { detail: error.to_string() })
+}
+
+fn job_response(answer: Answered<JobAnswer>) -> Response {
+    match answer {
+        Ok(answer) => json_response(answer_status(&answer), &answer),
+        Err(problem) => problem_response(&problem),
+    }
+}
+
+fn answer_status(answer: &JobAnswer) -> StatusCode {
+    match answer.state() {
+        JobState::Complete => StatusCode::OK,
+        JobState::Running => StatusCode::ACCEPTED,
+        JobState::Failed => StatusCode::BAD_GATEWAY,
+    }
+}
+
+fn respond<T>(result: Result<T, ApiError>) -> Response
+where
+    T: Serialize,
+{
+    match result {
+        Ok(value) => json_response(StatusCode::OK, &value),
+        Err(error) => problem_response(&error.problem()),
+    }
+}
+
+fn problem_response(problem: &Problem) -> Response {
+    const MILLIS_PER_SECOND: u64 = 1000;
+    let status = u16::try_from(problem.status).ok().and_then(|s| StatusCode::from_u16(s).ok());
+    let mut response = json_response(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR), problem);
+    if problem.retry_after_ms > 0 {
+        let seconds = problem.retry_after_ms.div_ceil(MILLIS_PER_SECOND);
+        response.headers_mut().insert("retry-after", seconds.into());
+    }
+    response
+}
+
+fn json_response<T>(status: StatusCode, value: &T) -> Response
+where
+    T: Serialize,
+{
+    let bytes = serde_json::to_vec(value).expect("messages have no keys that JSON cannot take");
+    let mut response = Response::new(Body::from(bytes));
+    *response.status_mut() = status;
+    let json = volo_http::http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert("content-type", json);
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/entry/membership.rs
@@ -0,0 +1,98 @@
+//! Joins the member set, settles its changes and removes entries that are gone.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use cowslipwing_fold::Members;
+use cowslipwing_proto::{self as proto, record::Body};
+use cowslipwing_types::{EntryId, MemberVersion};
+
+use super::follow::append_or_warn;
+use super::shared::{Shared, lock};
+
+/// Time between two looks at the member set.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Silences, each long enough for suspicion, after which an entry is removed.
+const SILENCES_TO_REMOVE: u32 = 3;
+
+/// Looks after the member set until the entry stops.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut followed_since: Option<(MemberVersion, Instant)> = None;
+    loop {
+        tokio::time::sleep(LOOK_INTERVAL).await;
+        let members = shared.read(|fold| fold.members().clone());
+        if !has_read_log(&shared) || shared.is_stopping() {
+            continue;
+        }
+        if !members.is_settled() {
+            let since = match followed_since {
+                Some((version, since)) if version == members.version() => Some(since),
+                _ => majority_follows(&shared, &members).then(|| shared.now()),
+            };
+            followed_since = since.map(|since| (members.version(), since));
+            settle(&shared, &members, since).await;
+        } else if !members.current().contains(&shared.id) {
+            join(&shared, &members).await;
+        } else if leads(&shared) {
+            remove_gone(&shared, &members).await;
+        }
+    }
+}
+
+/// Tells whether this entry is the live member with the lowest id, which acts for all.
+pub(crate) fn leads(shared: &Shared) -> bool {
+    let members = shared.members();
+    let first_live = members.iter().map(|(id, _)| id).find(|id| shared.is_live(id));
+    first_live == Some(&shared.id)
+}
+
+/// Removes an entry from the member set.
+pub(crate) async fn remove(shared: &Shared, id: &EntryId) -> bool {
+    let base_version = shared.read(|fold| fold.members().version().get());
+    let leave = proto::MemberLeave { base_version, entry: id.to_string() };
+    append_or_warn(shared, "the removal of an entry", Body::Leave(leave)).await
+}
+
+fn has_read_log(shared: &Shared) -> bool {
+    shared.followed.read().expect("no holder of the fold panics").tail_read_at.is_some()
+}
+
+fn majority_follows(shared: &Shared, members: &Members) -> bool {
+    let version = members.version();
+    let peers = lock(&shared.peers);
+    members.previous().has_majority(|id| {
+        *id == shared.id || peers.get(id).is_some_and(|peer| peer.member_version >= version)
+    })
+}
+
+/// Settles a change once leases granted by the former majority have run out.
+async fn settle(shared: &Shared, members: &Members, followed_since: Option<Instant>) {
+    let Some(since) = followed_since else {
+        return;
+    };
+    if shared.now() < since + shared.lease.length || !leads(shared) {
+        return;
+    }
+    let settled = proto::MemberSettled { version: members.version().get() };
+    append_or_warn(shared, "a change of the member set", Body::Settled(settled)).await;
+}
+
+async fn join(shared: &Shared, members: &Members) {
+    let base_version = members.version().get();
+    let join = proto::MemberJoin { base_version, member: Some(shared.member.clone()) };
+    append_or_warn(shared, "the joining of this entry", Body::Join(join)).await;
+}
+
+async fn remove_gone(shared: &Shared, members: &Members) {
+    let limit = shared.lease.suspect_after * SILENCES_TO_REMOVE;
+    let now = shared.now();
+    let gone = {
+        let peers = lock(&shared.peers);
+        let silent = |id: &&EntryId| peers.get(id).is_some_and(|p| now >= p.last_heard + limit);
+        members.current().iter().map(|(id, _)| id).find(silent).cloned()
+    };
+    if let Some(id) = gone {
+        log::warn!("members: {id} was silent for {limit:?} and is removed.");
+        remove(shared, &id).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/operate.rs
@@ -0,0 +1,144 @@
+//! What operators ask of an entry: contracts, endpoints, batches and the state.
+
+use std::sync::atomic::Ordering;
+
+use cowslipwing_fold::{Fold, InForce, Outcome, Terms};
+use cowslipwing_proto::{
+    BatchWithdrawal, Contract, ContractChange, ContractInForce, ContractList, EndpointChange,
+    EndpointList, EndpointView, StatusView, record::Body,
+};
+use cowslipwing_types::{BatchName, CustomerName, EndpointName, Version};
+use snafu::ResultExt;
+
+use super::append::append;
+use super::link;
+use super::shared::{Shared, lock, name_of};
+use crate::api_error::{ApiError, BadNameSnafu};
+
+/// Publishes or amends a contract.
+pub(crate) async fn change_contract(
+    shared: &Shared,
+    customer: &str,
+    base: Version,
+    contract: Contract,
+) -> Result<ContractInForce, ApiError> {
+    let customer = parse_customer(customer)?;
+    let bad = |error: cowslipwing_fold::ContractError| ApiError::BadContract {
+        detail: error.to_string(),
+    };
+    Terms::try_from(&contract).map_err(bad)?;
+    let change = ContractChange {
+        customer: customer.to_string(),
+        base_version: base.get(),
+        contract: Some(contract.clone()),
+    };
+    match append(shared, Body::Contract(change)).await? {
+        Outcome::Contract(version) => Ok(ContractInForce {
+            customer: customer.to_string(),
+            version: version.get(),
+            contract: Some(contract),
+            append_id: String::new(),
+        }),
+        Outcome::StaleBase { in_force } => Err(ApiError::StaleBase { base, in_force }),
+        _ => Err(ApiError::LogUnavailable),
+    }
+}
+
+/// Returns the contract of a customer.
+pub(crate) fn show_contract(shared: &Shared, customer: &str) -> Result<ContractInForce, ApiError> {
+    let customer = parse_customer(customer)?;
+    let found =
+        shared.read(|fold| fold.contracts().get(&customer).map(|f| view_contract(&customer, f)));
+    found.ok_or(ApiError::UnknownCustomer { customer })
+}
+
+/// Returns all contracts.
+pub(crate) fn list_contracts(shared: &Shared) -> ContractList {
+    let contracts = shared.read(|fold| {
+        fold.contracts().iter().map(|(customer, found)| view_contract(customer, found)).collect()
+    });
+    ContractList { contracts }
+}
+
+/// Withdraws an endpoint or lets it return.
+pub(crate) async fn change_endpoint(
+    shared: &Shared,
+    endpoint: &str,
+    withdrawn: bool,
+) -> Result<(), ApiError> {
+    let endpoint: EndpointName = endpoint.parse().context(BadNameSnafu { what: "endpoint" })?;
+    let change = EndpointChange { endpoint: endpoint.to_string(), withdrawn };
+    append(shared, Body::Endpoint(change)).await.map(|_| ())
+}
+
+/// Withdraws every job of a batch.
+pub(crate) async fn withdraw_batch(
+    shared: &Shared,
+    customer: &str,
+    batch: &str,
+) -> Result<(), ApiError> {
+    let customer = parse_customer(customer)?;
+    let batch: BatchName = batch.parse().context(BadNameSnafu { what: "batch" })?;
+    let withdrawal = BatchWithdrawal { customer: customer.to_string(), batch: batch.to_string() };
+    append(shared, Body::Batch(withdrawal)).await.map(|_| ())
+}
+
+/// Returns the endpoints that this entry knows.
+pub(crate) fn list_endpoints(shared: &Shared) -> EndpointList {
+    let members = shared.members();
+    let known: Vec<_> = lock(&shared.links)
+        .iter()
+        .map(|(id, link)| (id.clone(), link.announcement.clone()))
+        .collect();
+    let dispatch = lock(&shared.dispatch);
+    let usable = lock(&shared.usable);
+    let view = |(id, announced): &(_, cowslipwing_proto::Announcement)| {
+        let (credits, running) = dispatch.placement.load(id);
+        EndpointView {
+            endpoint: name_of(&announced.incarnation).to_owned(),
+            site: announced.site.clone(),
+            incarnation: announced.incarnation.clone(),
+            slots: announced.slots,
+            credits,
+            running,
+            withdrawn: announced.leaving || link::is_withdrawn(shared, &announced.endpoint),
+            usable: shared.ranges().all(|range| usable.may_use(&members, range, id)),
+        }
+    };
+    EndpointList { endpoints: known.iter().map(view).collect() }
+}
+
+/// Returns the state of this entry.
+pub(crate) fn status(shared: &Shared) -> StatusView {
+    let now = shared.now();
+    let owned = shared.owned();
+    let serving = owned.iter().filter(|(range, _)| shared.shard(*range).is_serving()).count();
+    let followed = shared.followed.read().expect("no holder of the fold panics");
+    let log_age = now.duration_since(followed.tail_read_at.unwrap_or(shared.started_at));
+    let members = followed.fold.members();
+    StatusView {
+        entry: shared.id.to_string(),
+        site: shared.site.to_string(),
+        next_offset: Fold::next_offset(&followed.fold).get(),
+        member_version: members.version().get(),
+        members: members.current().iter().map(|(id, _)| id.to_string()).collect(),
+        ranges_owned: owned.len() as u32,
+        ranges_serving: serving as u32,
+        open_jobs: shared.open_jobs.load(Ordering::Relaxed),
+        log_age_ms: u64::try_from(log_age.as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
+/// Reads a customer's name.
+pub(crate) fn parse_customer(text: &str) -> Result<CustomerName, ApiError> {
+    text.parse().context(BadNameSnafu { what: "customer" })
+}
+
+fn view_contract(customer: &CustomerName, found: &InForce) -> ContractInForce {
+    ContractInForce {
+        customer: customer.to_string(),
+        version: found.version.get(),
+        contract: Some(found.contract.clone()),
+        append_id: found.append_id.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/peers.rs
@@ -0,0 +1,119 @@
+//! Serves peers and agents.
+
+use std::sync::Arc;
+
+use cowslipwing_claims::Confirmation;
+use cowslipwing_proto::peer_server::{Peer, PeerServer};
+use cowslipwing_proto::{
+    AnnounceReply, Announcement, FoldRequest, FoldState, ForwardReply, ForwardRequest, Heard,
+    LeaseCheck, LeaseReply, PromiseReply, PromiseRequest,
+};
+use cowslipwing_types::{EntryId, Incarnation, MemberVersion};
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::{Request, Response, Status};
+
+use super::shared::{Shared, lock};
+use super::{forward, link, takeover};
+use crate::convert::claims_of;
+use crate::net;
+
+/// Serves until the entry stops.
+pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    let service = PeerServer::new(Service { shared })
+        .max_decoding_message_size(net::MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(net::MAX_MESSAGE_BYTES);
+    let server = tonic::transport::Server::builder()
+        .tcp_nodelay(true)
+        .add_service(service)
+        .serve_with_incoming(TcpListenerStream::new(listener));
+    if let Err(error) = server.await {
+        log::error!("entry: the server for peers stopped: {error}.");
+    }
+}
+
+struct Service {
+    shared: Arc<Shared>,
+}
+
+impl Service {
+    fn hear(&self, announcement: &Announcement) -> Result<(), Status> {
+        let incarnation: Incarnation = announcement
+            .incarnation
+            .parse()
+            .map_err(|_| Status::invalid_argument("incarnation"))?;
+        let now = self.shared.now();
+        lock(&self.shared.hearsay).hear(now, incarnation, announcement.clone());
+        link::learn(&self.shared, announcement);
+        Ok(())
+    }
+
+    fn note_sign_of_life(&self, entry: &str, version: u64) {
+        if let Ok(id) = entry.parse::<EntryId>() {
+            self.shared.heard_from(&id, MemberVersion::new(version));
+        }
+    }
+
+    fn answer_check(&self, check: &LeaseCheck) -> LeaseReply {
+        let votes = lock(&self.shared.votes);
+        let version = votes.member_version().get();
+        let asker = MemberVersion::new(check.member_version);
+        let answer = votes.confirm(self.shared.now(), asker, &claims_of(&check.ranges));
+        let Confirmation::Confirmed(confirmed) = answer else {
+            return LeaseReply { member_version: version, abstains: true, ..LeaseReply::default() };
+        };
+        // The votes stay locked, so that no promise comes between them and the list.
+        let hearsay = lock(&self.shared.hearsay);
+        let heard = hearsay
+            .after(check.heard_after)
+            .map(|(_, announced)| Heard {
+                position: announced.position,
+                announcement: Some(announced.announcement.clone()),
+            })
+            .collect();
+        let confirmed = confirmed.into_iter().map(|range| range.get()).collect();
+        LeaseReply { member_version: version, confirmed, heard, abstains: false }
+    }
+}
+
+#[tonic::async_trait]
+impl Peer for Service {
+    async fn announce(
+        &self,
+        req: Request<Announcement>,
+    ) -> Result<Response<AnnounceReply>, Status> {
+        let announcement = req.into_inner();
+        self.hear(&announcement)?;
+        let members = self.shared.members().iter().map(|(_, member)| member.clone()).collect();
+        let withdrawn = link::is_withdrawn(&self.shared, &announcement.endpoint);
+        let next_offset = self.shared.read(|fold| fold.next_offset().get());
+        Ok(Response::new(AnnounceReply { members, withdrawn, next_offset }))
+    }
+
+    async fn check_lease(&self, req: Request<LeaseCheck>) -> Result<Response<LeaseReply>, Status> {
+        let check = req.into_inner();
+        self.note_sign_of_life(&check.entry, check.member_version);
+        Ok(Response::new(self.answer_check(&check)))
+    }
+
+    async fn promise(
+        &self,
+        req: Request<PromiseRequest>,
+    ) -> Result<Response<PromiseReply>, Status> {
+        let req = req.into_inner();
+        self.note_sign_of_life(&req.entry, req.member_version);
+        Ok(Response::new(takeover::promise(&self.shared, &req)))
+    }
+
+    async fn forward(
+        &self,
+        req: Request<ForwardRequest>,
+    ) -> Result<Response<ForwardReply>, Status> {
+        let reply = forward::answer(&self.shared, req.into_inner()).await;
+        Ok(Response::new(reply))
+    }
+
+    async fn fetch_fold(&self, _: Request<FoldRequest>) -> Result<Response<FoldState>, Status> {
+        Ok(Response::new(self.shared.read(|fold| FoldState::from(fold))))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/reports.rs
@@ -0,0 +1,86 @@
+//! Takes in what agents report.
+
+use cowslipwing_claims::{JobPhase, Report, Stage};
+use cowslipwing_proto::{FromAgent, TaskReport};
+use cowslipwing_types::{Incarnation, TaskId};
+
+use super::jobs::after_change;
+use super::shared::{Queued, Shared, lock};
+use crate::convert::{report_of, task_of};
+
+/// Takes in one batch from an agent.
+pub(crate) fn take_in(shared: &Shared, agent: &Incarnation, batch: &FromAgent) {
+    if batch.incarnation != agent.as_str() {
+        return;
+    }
+    if batch.credits > 0 {
+        let mut dispatch = lock(&shared.dispatch);
+        dispatch.placement.on_credits(agent, batch.credits);
+        dispatch.asks.on_credits(agent, batch.credits);
+    }
+    for message in &batch.reports {
+        take_report(shared, agent, message);
+    }
+    shared.work.notify_one();
+}
+
+fn take_report(shared: &Shared, agent: &Incarnation, message: &TaskReport) {
+    let Some(task) = message.task.as_ref().and_then(task_of) else {
+        return;
+    };
+    let report = report_of(message);
+    if report.stage.is_final() {
+        learn(shared, agent, &task, &report);
+    }
+    let range = task.job.range();
+    let mut shard = shared.shard(range);
+    let now = shared.now();
+    let Some(open) = shard.open.get_mut(&task.job) else {
+        return;
+    };
+    let changed = open.job.on_report(now, task.index, agent, &report);
+    let waits_again = report.stage == Stage::NotStarted && open.job.phase() == JobPhase::Running;
+    if changed && waits_again {
+        let queued = Queued { job: task.job.clone(), range, need: open.need };
+        let mut dispatch = lock(&shared.dispatch);
+        let cost = dispatch.estimates.get(&task.job.customer, "", None);
+        dispatch.queue.push(&task.job.customer, queued, 1, cost);
+    }
+    if changed {
+        after_change(shared, &mut shard, range, &task.job);
+    }
+}
+
+/// Learns from a task that an agent has no more.
+fn learn(shared: &Shared, agent: &Incarnation, task: &TaskId, report: &Report) {
+    let mut dispatch = lock(&shared.dispatch);
+    let Some(sent) = dispatch.note_back(agent, task) else {
+        return;
+    };
+    match report.stage {
+        Stage::Succeeded => {
+            dispatch.estimates.observe(&task.job.customer, &sent.kind, report.run_time);
+            dispatch.placement.on_end(agent, sent.expected, report.run_time, true);
+            shared.metrics.time("entry.tasks.run", report.run_time);
+        }
+        Stage::Errored | Stage::Unknown => {
+            dispatch.placement.on_end(agent, sent.expected, report.run_time, false);
+        }
+        Stage::Queued | Stage::Started | Stage::NotStarted => dispatch.placement.on_returned(agent),
+    }
+}
+
+/// Ends the tasks that an agent had when it was replaced.
+pub(crate) fn on_agent_lost(shared: &Shared, agent: &Incarnation) {
+    let now = shared.now();
+    for range in shared.ranges() {
+        let mut shard = shared.shard(range);
+        let jobs: Vec<_> = shard.open.keys().cloned().collect();
+        for job in jobs {
+            if let Some(open) = shard.open.get_mut(&job) {
+                open.job.on_agent_lost(now, agent);
+            }
+            after_change(shared, &mut shard, range, &job);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/shared.rs
@@ -0,0 +1,354 @@
+//! What the parts of an entry share; each piece stands under its own lock.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use cowslipwing_claims::{Hearsay, Leases, Usable, Votes};
+use cowslipwing_fold::{Fold, MemberSet, Outcome};
+use cowslipwing_log::PlatformLog;
+use cowslipwing_policy::{Asks, Estimates, FairQueue, Need, Placement};
+use cowslipwing_proto::{self as proto, peer_client::PeerClient};
+use cowslipwing_settings::{Config, EntryConfig, LeaseConfig, LimitConfig};
+use cowslipwing_types::{
+    AppendId, Clock, CustomerName, EntryId, Epoch, Incarnation, JobId, MemberVersion, RANGES,
+    RangeId, Site, SortedMap, TaskId, stable_hash,
+};
+use tokio::sync::Notify;
+use tonic::transport::Channel;
+
+use super::link::Link;
+use super::shard::Shard;
+use crate::api_error::ApiError;
+use crate::metrics::Metrics;
+use crate::net;
+
+/// Append ids whose outcome is remembered.
+const MAX_OUTCOMES: usize = 1024;
+
+/// A job in the fair queue.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Queued {
+    pub(crate) job: JobId,
+    pub(crate) range: RangeId,
+    pub(crate) need: Need,
+}
+
+/// Tasks that wait, and the agents they may go to.
+#[derive(Default)]
+pub(crate) struct Dispatch {
+    pub(crate) queue: FairQueue<Queued>,
+    pub(crate) placement: Placement,
+    pub(crate) estimates: Estimates,
+    pub(crate) asks: Asks,
+    /// Tasks that agents have, by agent.
+    pub(crate) sent: SortedMap<Incarnation, SortedMap<TaskId, SentTask>>,
+    open: SortedMap<CustomerName, u32>,
+    /// When the queue was last empty with credits left over.
+    pub(crate) idle_since: Option<Instant>,
+}
+
+/// A task that an agent has.
+#[derive(Clone, Debug)]
+pub(crate) struct SentTask {
+    pub(crate) kind: CompactString,
+    pub(crate) expected: Duration,
+}
+
+impl Dispatch {
+    /// Returns the number of a customer's open jobs.
+    pub(crate) fn open_of(&self, customer: &CustomerName) -> u32 {
+        self.open.get(customer).copied().unwrap_or(0)
+    }
+
+    /// Counts a customer's jobs.
+    pub(crate) fn count_open(&mut self, customer: &CustomerName, change: i32) {
+        let open = self.open.get_or_insert_with(customer.clone(), || 0);
+        *open = open.saturating_add_signed(change);
+    }
+
+    /// Notes that an agent has a task.
+    pub(crate) fn note_sent(&mut self, agent: &Incarnation, task: TaskId, sent: SentTask) {
+        self.sent.get_or_insert_with(agent.clone(), SortedMap::new).insert(task, sent);
+    }
+
+    /// Notes that an agent has a task no more.
+    pub(crate) fn note_back(&mut self, agent: &Incarnation, task: &TaskId) -> Option<SentTask> {
+        let sent = self.sent.get_mut(agent)?.remove(task)?;
+        self.queue.on_end(&task.job.customer);
+        Some(sent)
+    }
+
+    /// Forgets an agent that is gone, with the tasks it had.
+    pub(crate) fn forget_agent(&mut self, agent: &Incarnation) {
+        for (task, _) in self.sent.remove(agent).unwrap_or_default().iter() {
+            self.queue.on_end(&task.job.customer);
+        }
+        self.placement.remove(agent);
+        self.asks.forget(agent);
+    }
+}
+
+/// What is known of another entry.
+pub(crate) struct PeerState {
+    pub(crate) client: PeerClient<Channel>,
+    pub(crate) last_heard: Instant,
+    pub(crate) member_version: MemberVersion,
+}
+
+/// What the log has told so far.
+#[derive(Default)]
+pub(crate) struct Followed {
+    pub(crate) fold: Fold,
+    pub(crate) outcomes: Vec<(AppendId, Outcome)>,
+    /// When the log was last read to its tail.
+    pub(crate) tail_read_at: Option<Instant>,
+}
+
+impl Followed {
+    /// Remembers the first outcome of an append.
+    pub(crate) fn note_outcome(&mut self, id: &str, outcome: Outcome) {
+        let Ok(id) = id.parse::<AppendId>() else {
+            return;
+        };
+        if self.outcome(&id).is_some() {
+            return;
+        }
+        if self.outcomes.len() == MAX_OUTCOMES {
+            self.outcomes.remove(0);
+        }
+        self.outcomes.push((id, outcome));
+    }
+
+    /// Returns the outcome of an append, once it was folded.
+    pub(crate) fn outcome(&self, id: &AppendId) -> Option<&Outcome> {
+        self.outcomes.iter().find(|(known, _)| known == id).map(|(_, outcome)| outcome)
+    }
+}
+
+/// The state of an entry.
+pub(crate) struct Shared {
+    pub(crate) id: EntryId,
+    pub(crate) site: Site,
+    pub(crate) contact: Option<SocketAddr>,
+    pub(crate) limits: LimitConfig,
+    pub(crate) lease: LeaseConfig,
+    pub(crate) member: proto::Member,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) metrics: Metrics,
+    pub(crate) log: Arc<dyn PlatformLog>,
+    pub(crate) started_at: Instant,
+    pub(crate) followed: RwLock<Followed>,
+    pub(crate) votes: Mutex<Votes>,
+    pub(crate) leases: Mutex<Leases>,
+    pub(crate) usable: Mutex<Usable>,
+    pub(crate) hearsay: Mutex<Hearsay<proto::Announcement>>,
+    pub(crate) dispatch: Mutex<Dispatch>,
+    pub(crate) links: Mutex<SortedMap<Incarnation, Link>>,
+    pub(crate) peers: Mutex<SortedMap<EntryId, PeerState>>,
+    shards: Vec<Mutex<Shard>>,
+    pub(crate) open_jobs: AtomicU32,
+    pub(crate) requests: AtomicU32,
+    stopping: AtomicBool,
+    /// Wakes the dispatcher.
+    pub(crate) work: Notify,
+    /// Wakes the follower of the log.
+    pub(crate) read_log: Notify,
+    /// Wakes those that wait for the fold to go on.
+    pub(crate) folded: Notify,
+}
+
+impl Shared {
+    pub(crate) fn new(
+        config: &Config,
+        entry: &EntryConfig,
+        http: SocketAddr,
+        rpc: SocketAddr,
+        clock: Arc<dyn Clock>,
+        metrics: Metrics,
+        log: Arc<dyn PlatformLog>,
+    ) -> Self {
+        let tag = uuid::Uuid::new_v4().simple().to_string();
+        let id: EntryId =
+            format!("{}@{}", entry.name, &tag[..8]).parse().expect("a checked name and hex digits");
+        let member = proto::Member {
+            entry: id.to_string(),
+            site: config.site.to_string(),
+            http: http.to_string(),
+            rpc: rpc.to_string(),
+        };
+        let ages = config.lease.ages;
+        let remembered = ages.ageless_retention.max(ages.retention) + ages.skew * 2;
+        Self {
+            id,
+            site: config.site.clone(),
+            contact: entry.contact,
+            limits: config.limits,
+            lease: config.lease,
+            member,
+            started_at: clock.now(),
+            clock,
+            metrics,
+            log,
+            followed: RwLock::default(),
+            votes: Mutex::new(Votes::new(config.lease.log_absence)),
+            leases: Mutex::new(Leases::new(config.lease.length)),
+            usable: Mutex::default(),
+            hearsay: Mutex::new(Hearsay::new(remembered)),
+            dispatch: Mutex::default(),
+            links: Mutex::default(),
+            peers: Mutex::default(),
+            shards: (0..RANGES).map(|_| Mutex::new(Shard::new())).collect(),
+            open_jobs: AtomicU32::new(0),
+            requests: AtomicU32::new(0),
+            stopping: AtomicBool::new(false),
+            work: Notify::new(),
+            read_log: Notify::new(),
+            folded: Notify::new(),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Locks the shard of a range.
+    pub(crate) fn shard(&self, range: RangeId) -> MutexGuard<'_, Shard> {
+        lock(&self.shards[range.get() as usize])
+    }
+
+    /// Walks all ranges.
+    pub(crate) fn ranges(&self) -> impl Iterator<Item = RangeId> {
+        (0..RANGES).map(RangeId::new)
+    }
+
+    /// Reads from what the log has told.
+    pub(crate) fn read<T, F>(&self, look: F) -> T
+    where
+        F: FnOnce(&Fold) -> T,
+    {
+        look(&self.followed.read().expect("no holder of the fold panics").fold)
+    }
+
+    /// Returns the entries of the member set in force.
+    pub(crate) fn members(&self) -> MemberSet {
+        self.read(|fold| fold.members().current().clone())
+    }
+
+    /// Returns the ranges that this entry owns, with their epochs.
+    pub(crate) fn owned(&self) -> Vec<(RangeId, Epoch)> {
+        self.read(|fold| {
+            let mine = fold.ranges().iter().filter(|(_, found)| found.owner == self.id);
+            mine.map(|(range, found)| (range, found.epoch)).collect()
+        })
+    }
+
+    /// Returns the client of another entry.
+    pub(crate) fn peer(&self, id: &EntryId) -> Option<PeerClient<Channel>> {
+        let address = self.read(|fold| Some(fold.members().current().get(id)?.rpc.clone()))?;
+        let mut peers = lock(&self.peers);
+        if let Some(known) = peers.get(id) {
+            return Some(known.client.clone());
+        }
+        let client = PeerClient::new(net::channel(&address)?)
+            .max_decoding_message_size(net::MAX_MESSAGE_BYTES);
+        let state = PeerState {
+            client: client.clone(),
+            last_heard: self.now(),
+            member_version: MemberVersion::default(),
+        };
+        peers.insert(id.clone(), state);
+        Some(client)
+    }
+
+    /// Returns the members other than this entry, with their clients.
+    pub(crate) fn other_members(&self) -> Vec<(EntryId, PeerClient<Channel>)> {
+        let members = self.members();
+        let others = members.iter().map(|(id, _)| id).filter(|id| **id != self.id);
+        others.filter_map(|id| Some((id.clone(), self.peer(id)?))).collect()
+    }
+
+    /// Notes a sign of life of another entry.
+    pub(crate) fn heard_from(&self, id: &EntryId, version: MemberVersion) {
+        let now = self.now();
+        if let Some(peer) = lock(&self.peers).get_mut(id) {
+            peer.last_heard = now;
+            peer.member_version = peer.member_version.max(version);
+        }
+    }
+
+    /// Tells whether an entry was heard from lately.
+    pub(crate) fn is_live(&self, id: &EntryId) -> bool {
+        let now = self.now();
+        let lately = |peer: &PeerState| now < peer.last_heard + self.lease.suspect_after;
+        *id == self.id || lock(&self.peers).get(id).is_some_and(lately)
+    }
+
+    /// Returns the member that should own a range: the live one that ranks first for it.
+    pub(crate) fn best_owner(&self, members: &MemberSet, range: RangeId) -> Option<EntryId> {
+        let live = members.iter().map(|(id, _)| id).filter(|id| self.is_live(id));
+        live.max_by_key(|id| rank(id, range)).cloned()
+    }
+
+    /// Tells whether this entry is stopping.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Makes the entry refuse health checks and give its ranges away.
+    pub(crate) fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells whether this entry can serve requests.
+    pub(crate) fn is_ready(&self) -> bool {
+        let all_owned = self.read(|fold| fold.ranges().iter().count() == RANGES as usize);
+        let mine = self.owned();
+        let serving = |claim: &(RangeId, Epoch)| self.shard(claim.0).is_serving();
+        let is_member = self.members().contains(&self.id);
+        is_member && all_owned && mine.iter().all(serving) && !self.is_stopping()
+    }
+
+    /// Counts a request as in flight until the returned value is dropped.
+    pub(crate) fn begin_request(&self) -> InFlight<'_> {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+        InFlight { requests: &self.requests }
+    }
+
+    /// Counts a caller's request as in flight, unless too many are.
+    pub(crate) fn begin_limited_request(&self) -> Result<InFlight<'_>, ApiError> {
+        let limit = self.limits.connections;
+        let in_flight = self.begin_request();
+        if self.requests.load(Ordering::Relaxed) > limit {
+            return Err(ApiError::TooManyConnections { limit });
+        }
+        Ok(in_flight)
+    }
+}
+
+/// A request in flight.
+pub(crate) struct InFlight<'a> {
+    requests: &'a AtomicU32,
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Locks a piece of the state.
+pub(crate) fn lock<T>(piece: &Mutex<T>) -> MutexGuard<'_, T> {
+    piece.lock().expect("no holder of the lock panics")
+}
+
+/// Returns the endpoint or entry that an incarnation belongs to.
+pub(crate) fn name_of(incarnation: &str) -> &str {
+    incarnation.split_once('@').map_or(incarnation, |(name, _)| name)
+}
+
+fn rank(id: &EntryId, range: RangeId) -> u64 {
+    stable_hash(id.as_str().bytes().chain(range.get().to_le_bytes()))
+}
--- /dev/null
+++ b/crates/daemon/src/entry/submission.rs
@@ -0,0 +1,101 @@
+//! Reads and checks a submission.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use cowslipwing_fold::Terms;
+use cowslipwing_policy::Need;
+use cowslipwing_proto::{JobSubmission, Message, Task};
+use cowslipwing_types::{BatchName, CustomerName, JobId, parse_duration, stable_hash};
+use snafu::ResultExt;
+
+use super::shared::Shared;
+use crate::api_error::{ApiError, BadNameSnafu, BadQuantitySnafu};
+
+/// A submission that was checked.
+#[derive(Clone, Debug)]
+pub(crate) struct Checked {
+    pub(crate) job: JobId,
+    pub(crate) submission: Arc<JobSubmission>,
+    pub(crate) fingerprint: u64,
+    pub(crate) deadline: SystemTime,
+    pub(crate) made_at: Option<SystemTime>,
+    pub(crate) traceparent: String,
+}
+
+/// Checks a submission under a key against its customer's contract.
+pub(crate) fn check(
+    shared: &Shared,
+    job: JobId,
+    made_at: Option<SystemTime>,
+    submission: JobSubmission,
+    traceparent: String,
+) -> Result<Checked, ApiError> {
+    let terms = terms_of(shared, &job.customer)?;
+    check_batch(shared, &job.customer, &submission.batch)?;
+    for task in &submission.tasks {
+        declared(task)?;
+    }
+    let deadline = read_deadline(shared.clock.wall(), &submission.deadline, &terms)?;
+    Ok(Checked {
+        fingerprint: fingerprint(&submission),
+        made_at: job.key.made_at().or(made_at),
+        job,
+        submission: Arc::new(submission),
+        deadline,
+        traceparent,
+    })
+}
+
+/// Returns the terms of a customer's contract.
+pub(crate) fn terms_of(shared: &Shared, customer: &CustomerName) -> Result<Terms, ApiError> {
+    let terms = shared.read(|fold| fold.contracts().get(customer).map(|found| found.terms.clone()));
+    terms.ok_or_else(|| ApiError::UnknownCustomer { customer: customer.clone() })
+}
+
+/// Returns the run time that a task declares.
+pub(crate) fn declared(task: &Task) -> Result<Option<Duration>, ApiError> {
+    if task.estimate.is_empty() {
+        return Ok(None);
+    }
+    parse_duration(&task.estimate).map(Some).context(BadQuantitySnafu { what: "estimate" })
+}
+
+/// Returns what the largest of the tasks needs.
+pub(crate) fn need_of(tasks: &[Task]) -> Need {
+    let cores = tasks.iter().map(|task| task.cores).max().unwrap_or(0);
+    let memory_mb = tasks.iter().map(|task| task.memory_mb).max().unwrap_or(0);
+    Need { cores, memory_mb }
+}
+
+fn check_batch(shared: &Shared, customer: &CustomerName, batch: &str) -> Result<(), ApiError> {
+    if batch.is_empty() {
+        return Ok(());
+    }
+    let name: BatchName = batch.parse().context(BadNameSnafu { what: "batch" })?;
+    if shared.read(|fold| fold.is_batch_withdrawn(customer, &name)) {
+        return Err(ApiError::BatchWithdrawn {
+            customer: customer.clone(),
+            batch: name.to_string(),
+        });
+    }
+    Ok(())
+}
+
+fn read_deadline(wall: SystemTime, text: &str, terms: &Terms) -> Result<SystemTime, ApiError> {
+    if text.is_empty() {
+        return Ok(wall + terms.deadline);
+    }
+    let given = || text.to_owned();
+    let deadline =
+        humantime::parse_rfc3339(text).map_err(|_| ApiError::BadDeadline { given: given() })?;
+    if deadline <= wall {
+        return Err(ApiError::DeadlinePassed { given: given() });
+    }
+    Ok(deadline)
+}
+
+/// Returns a fingerprint by which a repeated submission is told from another one.
+fn fingerprint(submission: &JobSubmission) -> u64 {
+    stable_hash(submission.encode_to_vec())
+}
--- /dev/null
+++ b/crates/daemon/src/entry/takeover.rs
@@ -0,0 +1,291 @@
+//! Takes over ranges whose owner is gone, or that never had one.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cowslipwing_claims::{Claimed, Promised, Recovery, Takeover};
+use cowslipwing_fold::{MemberSet, Outcome};
+use cowslipwing_proto::agent_client::AgentClient;
+use cowslipwing_proto::{
+    Announcement, PromiseReply, PromiseRequest, RangeEpoch, RangeTakeover, SurveyReply,
+    SurveyRequest, record::Body,
+};
+use cowslipwing_types::{EntryId, Epoch, Incarnation, MemberVersion, RangeId, SortedMap};
+use futures::future::join_all;
+use tokio::time::timeout;
+
+use super::append::append;
+use super::shard::Serving;
+use super::shared::{Shared, lock};
+use crate::convert::{claims_to, found_of, ranges_of};
+use crate::net;
+
+/// Time between two looks at the ranges.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after joining before ranges are claimed, so that entries that start together share them.
+const CLAIM_DELAY: Duration = Duration::from_secs(1);
+/// Time in which a member must promise.
+const PROMISE_LIMIT: Duration = Duration::from_millis(500);
+/// Time in which an agent must tell what it holds.
+const SURVEY_LIMIT: Duration = Duration::from_millis(800);
+/// Times an agent is asked.
+const SURVEY_TRIES: u32 = 2;
+
+/// Looks after the ranges until the entry stops.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    tokio::spawn(claim_ranges(shared.clone()));
+    let mut driven: SortedMap<RangeId, Epoch> = SortedMap::new();
+    loop {
+        let won = newly_won(&shared, &mut driven);
+        if !won.is_empty() {
+            tokio::spawn(take_over(shared.clone(), won));
+        }
+        let folded = shared.folded.notified();
+        let _ = timeout(LOOK_INTERVAL, folded).await;
+    }
+}
+
+/// Claims ranges that this entry should own.
+async fn claim_ranges(shared: Arc<Shared>) {
+    let mut member_since = None;
+    loop {
+        tokio::time::sleep(LOOK_INTERVAL).await;
+        let members = shared.members();
+        if !members.contains(&shared.id) || shared.is_stopping() {
+            member_since = None;
+            continue;
+        }
+        let since = *member_since.get_or_insert_with(|| shared.now());
+        if shared.now() < since + CLAIM_DELAY {
+            continue;
+        }
+        let claims = claims_due(&shared, &members);
+        if claims.is_empty() {
+            continue;
+        }
+        let ranges = claims_to(&claims);
+        let takeover = RangeTakeover { owner: shared.id.to_string(), ranges };
+        match append(&shared, Body::Takeover(takeover)).await {
+            Ok(Outcome::Takeover { won }) => log::info!("ranges: won {} of them.", won.len()),
+            Ok(_) => {}
+            Err(error) => log::warn!("ranges: a takeover was not recorded: {error}."),
+        }
+    }
+}
+
+/// Returns the ranges without a live owner that rank this entry first.
+fn claims_due(shared: &Shared, members: &MemberSet) -> Vec<(RangeId, Epoch)> {
+    let owners: Vec<(RangeId, Epoch, Option<EntryId>)> = shared.read(|fold| {
+        let owner = |range| fold.ranges().get(range).map(|found| found.owner.clone());
+        shared.ranges().map(|range| (range, fold.ranges().epoch(range), owner(range))).collect()
+    });
+    let is_orphan = |owner: &Option<EntryId>| {
+        owner.as_ref().is_none_or(|id| !members.contains(id) || !shared.is_live(id))
+    };
+    owners
+        .into_iter()
+        .filter(|(_, _, owner)| is_orphan(owner))
+        .filter(|(range, _, _)| shared.best_owner(members, *range).as_ref() == Some(&shared.id))
+        .map(|(range, epoch, _)| (range, epoch.next()))
+        .collect()
+}
+
+/// Returns the ranges won since the last look.
+fn newly_won(shared: &Shared, driven: &mut SortedMap<RangeId, Epoch>) -> Vec<(RangeId, Epoch)> {
+    let taking_over = |range: &RangeId| {
+        let shard = shared.shard(*range);
+        matches!(shard.serving, Serving::TakingOver).then_some((*range, shard.epoch))
+    };
+    let won: Vec<_> = shared
+        .ranges()
+        .filter_map(|range| taking_over(&range))
+        .filter(|(range, epoch)| driven.get(range) != Some(epoch))
+        .collect();
+    for (range, epoch) in &won {
+        driven.insert(*range, *epoch);
+    }
+    won
+}
+
+/// Takes over a batch of ranges whose records won.
+async fn take_over(shared: Arc<Shared>, won: Vec<(RangeId, Epoch)>) {
+    for (range, _) in &won {
+        lock(&shared.usable).renew(*range);
+    }
+    let (first, later): (Vec<_>, Vec<_>) =
+        won.into_iter().partition(|(_, epoch)| *epoch == Epoch::new(1));
+    for (range, epoch) in first {
+        shared.shard(range).serve(epoch, Recovery::first_owner());
+    }
+    shared.work.notify_one();
+    if later.is_empty() {
+        return;
+    }
+    let count = later.len();
+    let (promised, agents) = gather_promises(&shared, later).await;
+    let surveyed = survey(&shared, promised, &agents).await;
+    let mut whole = 0;
+    for takeover in surveyed {
+        let (range, epoch) = (takeover.range(), takeover.epoch());
+        let recovery = takeover.finish();
+        whole += usize::from(recovery.history_is_whole());
+        shared.shard(range).serve(epoch, recovery);
+    }
+    log::info!("ranges: took over {count}, {whole} of them with their whole history.");
+    shared.work.notify_one();
+}
+
+type Agents = BTreeMap<Incarnation, Announcement>;
+
+async fn gather_promises(
+    shared: &Shared,
+    ranges: Vec<(RangeId, Epoch)>,
+) -> (Vec<Takeover<Promised>>, Agents) {
+    let now = shared.now();
+    let absence = shared.lease.log_absence;
+    let mut waiting: Vec<Takeover<Claimed>> =
+        ranges.iter().map(|(range, epoch)| Takeover::new(*range, *epoch, now, absence)).collect();
+    let mut promised = Vec::new();
+    let mut agents = Agents::new();
+    while !waiting.is_empty() {
+        for (id, reply) in ask_promises(shared, &ranges).await {
+            take_promise(&mut waiting, &mut agents, &id, &reply);
+        }
+        let members = shared.members();
+        let (now, wall) = (shared.now(), shared.clock.wall());
+        for takeover in std::mem::take(&mut waiting) {
+            match takeover.advance(&members, now, wall, shared.lease.length) {
+                Ok(ready) => promised.push(ready),
+                Err(early) => waiting.push(early),
+            }
+        }
+        if !waiting.is_empty() {
+            tokio::time::sleep(LOOK_INTERVAL).await;
+            waiting.retain(|takeover| shared.shard(takeover.range()).epoch == takeover.epoch());
+        }
+    }
+    (promised, agents)
+}
+
+async fn ask_promises(
+    shared: &Shared,
+    ranges: &[(RangeId, Epoch)],
+) -> Vec<(EntryId, PromiseReply)> {
+    let version = shared.read(|fold| fold.members().version());
+    let req = PromiseRequest {
+        entry: shared.id.to_string(),
+        member_version: version.get(),
+        ranges: claims_to(ranges),
+    };
+    let calls = shared.other_members().into_iter().map(|(id, mut client)| {
+        let req = req.clone();
+        async move {
+            let reply = timeout(PROMISE_LIMIT, client.promise(req)).await.ok()?.ok()?;
+            Some((id, reply.into_inner()))
+        }
+    });
+    let mut replies: Vec<_> = join_all(calls).await.into_iter().flatten().collect();
+    replies.push((shared.id.clone(), promise(shared, &req)));
+    replies.retain(|(_, reply)| MemberVersion::new(reply.member_version) == version);
+    replies
+}
+
+/// Promises to a new owner to confirm older epochs no more.
+pub(crate) fn promise(shared: &Shared, req: &PromiseRequest) -> PromiseReply {
+    let mut votes = lock(&shared.votes);
+    let version = votes.member_version();
+    let may_vote = votes.may_vote(shared.now()) && version.get() == req.member_version;
+    let claims = crate::convert::claims_of(&req.ranges);
+    let mut promised = Vec::new();
+    for (range, epoch) in claims {
+        if may_vote && votes.promise(range, epoch) {
+            promised.push(range.get());
+        }
+    }
+    // The list is read after the promises, so that what is heard of later is not used by the old
+    // owner.
+    let hearsay = lock(&shared.hearsay);
+    let heard = hearsay.all().map(|(_, announced)| announced.announcement.clone()).collect();
+    PromiseReply { member_version: version.get(), promised, heard }
+}
+
+fn take_promise(
+    waiting: &mut [Takeover<Claimed>],
+    agents: &mut Agents,
+    from: &EntryId,
+    reply: &PromiseReply,
+) {
+    let promised = ranges_of(&reply.promised);
+    let mut heard = Vec::new();
+    for announcement in &reply.heard {
+        if let Ok(incarnation) = announcement.incarnation.parse::<Incarnation>() {
+            agents.insert(incarnation.clone(), announcement.clone());
+            heard.push(incarnation);
+        }
+    }
+    for takeover in waiting.iter_mut().filter(|takeover| promised.contains(&takeover.range())) {
+        takeover.on_promise(from, heard.iter().cloned());
+    }
+}
+
+async fn survey(
+    shared: &Shared,
+    mut takeovers: Vec<Takeover<Promised>>,
+    agents: &Agents,
+) -> Vec<Takeover<Promised>> {
+    let ranges: Vec<RangeEpoch> = takeovers
+        .iter()
+        .map(|takeover| RangeEpoch { range: takeover.range().get(), epoch: takeover.epoch().get() })
+        .collect();
+    let calls = agents.iter().map(|(id, known)| ask_agent(id, &known.address, &ranges));
+    for (id, reply) in join_all(calls).await {
+        match reply {
+            Some(reply) => take_survey(&mut takeovers, &id, &reply),
+            None => {
+                log::warn!("ranges: {id} did not tell what it holds.");
+                takeovers.iter_mut().for_each(|takeover| takeover.on_missing(&id));
+            }
+        }
+    }
+    takeovers.retain(|takeover| shared.shard(takeover.range()).epoch == takeover.epoch());
+    takeovers
+}
+
+async fn ask_agent(
+    id: &Incarnation,
+    address: &str,
+    ranges: &[RangeEpoch],
+) -> (Incarnation, Option<SurveyReply>) {
+    let req = SurveyRequest { incarnation: id.to_string(), ranges: ranges.to_vec() };
+    for _ in 0..SURVEY_TRIES {
+        let Some(channel) = net::channel(address) else {
+            break;
+        };
+        let mut client =
+            AgentClient::new(channel).max_decoding_message_size(net::MAX_MESSAGE_BYTES);
+        match timeout(SURVEY_LIMIT, client.survey(req.clone())).await {
+            Ok(Ok(reply)) => {
+                let reply = reply.into_inner();
+                let is_same = reply.incarnation == id.as_str();
+                return (id.clone(), is_same.then_some(reply));
+            }
+            Ok(Err(_)) | Err(_) => {}
+        }
+    }
+    (id.clone(), None)
+}
+
+fn take_survey(takeovers: &mut [Takeover<Promised>], id: &Incarnation, reply: &SurveyReply) {
+    let holdings: Vec<_> =
+        reply.holdings.iter().filter_map(|holding| found_of(id, holding)).collect();
+    for takeover in takeovers {
+        let range = takeover.range();
+        if reply.fenced.contains(&range.get()) {
+            takeover.on_missing(id);
+            continue;
+        }
+        let of_range = holdings.iter().filter(|(task, _)| task.job.range() == range);
+        takeover.on_survey(id, of_range.cloned());
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/net.rs
@@ -0,0 +1,71 @@
+//! Listeners and channels.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+use tonic::transport::{Channel, Endpoint};
+
+/// Time a connection attempt may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Silence after which a connection is probed.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(2);
+/// Time a probe may take.
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest message between the system's own processes, in bytes.
+pub(crate) const MAX_MESSAGE_BYTES: usize = 128 << 20;
+
+/// A process that cannot start.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum StartError {
+    /// An address cannot be bound.
+    #[snafu(display("{key}: cannot listen on {address}: {source}; choose a free address"))]
+    CannotListen {
+        /// The setting.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// What the system reported.
+        source: std::io::Error,
+    },
+    /// The log's address cannot be used.
+    #[snafu(display("{source}"), context(false))]
+    BadLog {
+        /// What is wrong.
+        source: cowslipwing_log::LogError,
+    },
+    /// A server stopped by itself.
+    #[snafu(display("the {part} server stopped: {detail}; restart the daemon"))]
+    ServerStopped {
+        /// The server.
+        part: &'static str,
+        /// What the transport reported.
+        detail: String,
+    },
+}
+
+/// Binds a listener and returns the address it got.
+pub(crate) async fn listen(
+    key: &'static str,
+    address: SocketAddr,
+) -> Result<(TcpListener, SocketAddr), StartError> {
+    let context = CannotListenSnafu { key, address };
+    let listener = TcpListener::bind(address).await.context(context)?;
+    let bound = listener.local_addr().context(context)?;
+    Ok((listener, bound))
+}
+
+/// Returns a channel to one of the system's own processes; it connects when first needed.
+pub(crate) fn channel(address: &str) -> Option<Channel> {
+    let socket: SocketAddr = address.parse().ok()?;
+    let endpoint = Endpoint::try_from(format!("http://{socket}")).ok()?;
+    let endpoint = endpoint
+        .connect_timeout(CONNECT_TIMEOUT)
+        .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
+        .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+        .keep_alive_while_idle(true)
+        .tcp_nodelay(true);
+    Some(endpoint.connect_lazy())
+}
--- /dev/null
+++ b/crates/policy/src/asks.rs
@@ -0,0 +1,88 @@
+//! Which agents an owner asks for credits.
+
+use std::time::{Duration, Instant};
+
+use cowslipwing_types::{Incarnation, SortedMap};
+
+/// Time after which an ask that was not met no longer counts, so that others are asked.
+const PATIENCE: Duration = Duration::from_millis(20);
+/// Time after which the same agent is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(400);
+
+/// An agent that may be asked.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Askable {
+    /// The agent.
+    pub id: Incarnation,
+    /// Tasks it runs at once.
+    pub slots: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Ask {
+    credits: u32,
+    at: Instant,
+}
+
+/// The asks that agents have not met yet.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Instant;
+/// use cowslipwing_policy::{Askable, Asks};
+///
+/// let now = Instant::now();
+/// let agents = [Askable { id: "agent-1".parse().unwrap(), slots: 4 }];
+/// let mut asks = Asks::default();
+/// assert_eq!(asks.plan(now, 3, &agents, 0), vec![(agents[0].id.clone(), 3)]);
+/// assert!(asks.plan(now, 3, &agents, 0).is_empty());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Asks {
+    pending: SortedMap<Incarnation, Ask>,
+}
+
+impl Asks {
+    /// Returns whom to ask for how many credits, so that `want` tasks can be sent.
+    ///
+    /// The walk over the agents begins at `start`, a random number.
+    pub fn plan(
+        &mut self,
+        now: Instant,
+        want: u32,
+        agents: &[Askable],
+        start: usize,
+    ) -> Vec<(Incarnation, u32)> {
+        self.pending.retain(|_, ask| ask.credits > 0 && now < ask.at + ASK_AGAIN);
+        let counts = |ask: &&Ask| now < ask.at + PATIENCE;
+        let asked: u32 = self.pending.values().filter(counts).map(|ask| ask.credits).sum();
+        let mut missing = want.saturating_sub(asked);
+        let mut plan = Vec::new();
+        for agent in (0..agents.len()).map(|step| &agents[(start + step) % agents.len()]) {
+            if missing == 0 {
+                break;
+            }
+            if self.pending.contains(&agent.id) {
+                continue;
+            }
+            let credits = missing.min(agent.slots);
+            missing -= credits;
+            self.pending.insert(agent.id.clone(), Ask { credits, at: now });
+            plan.push((agent.id.clone(), credits));
+        }
+        plan
+    }
+
+    /// Notes that an agent has granted credits.
+    pub fn on_credits(&mut self, id: &Incarnation, credits: u32) {
+        if let Some(ask) = self.pending.get_mut(id) {
+            ask.credits = ask.credits.saturating_sub(credits);
+        }
+    }
+
+    /// Forgets an agent.
+    pub fn forget(&mut self, id: &Incarnation) {
+        self.pending.remove(id);
+    }
+}
--- a/crates/policy/src/credit.rs
+++ b/crates/policy/src/credit.rs
@@ -1,28 +1,52 @@
 //! Credits that an agent hands out to entries.
 
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
 use cowslipwing_types::{EntryId, SortedMap};
 
+/// Time after which a demand that was not met is forgotten.
+const DEMAND_LIFETIME: Duration = Duration::from_millis(500);
+/// Time after which a credit that was not used is void.
+const CREDIT_LIFETIME: Duration = Duration::from_secs(2);
+
 /// What an entry asks for and holds.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default)]
 struct Account {
     demand: u32,
-    outstanding: u32,
+    demand_until: Option<Instant>,
+    /// When each outstanding credit becomes void, the oldest first.
+    outstanding: VecDeque<Instant>,
 }
 
-/// Hands out credits, so that accepted work never exceeds what the endpoint can take.
+impl Account {
+    fn wants_more(&self, now: Instant) -> bool {
+        self.demand > 0 && self.demand_until.is_some_and(|until| now < until)
+    }
+
+    fn lapse(&mut self, now: Instant) {
+        while self.outstanding.front().is_some_and(|until| *until <= now) {
+            self.outstanding.pop_front();
+        }
+    }
+}
+
+/// Hands out credits, so that accepted work does not exceed what the endpoint can take.
 ///
 /// # Examples
 ///
 /// ```
+/// use std::time::Instant;
 /// use cowslipwing_policy::CreditIssuer;
 ///
+/// let now = Instant::now();
 /// let entry = "entry-1".parse().unwrap();
 /// let mut issuer = CreditIssuer::new(4);
-/// issuer.set_demand(&entry, 10);
-/// assert_eq!(issuer.issue(), vec![(entry.clone(), 4)]);
+/// issuer.set_demand(now, &entry, 10);
+/// assert_eq!(issuer.issue(now), vec![(entry.clone(), 4)]);
 /// issuer.on_start(&entry);
 /// issuer.on_end();
-/// assert_eq!(issuer.issue(), vec![(entry, 1)]);
+/// assert_eq!(issuer.issue(now), vec![(entry, 1)]);
 /// ```
 #[derive(Clone, Debug)]
 pub struct CreditIssuer {
@@ -38,15 +62,18 @@
         Self { capacity, held: 0, accounts: SortedMap::new(), next: 0 }
     }
 
-    /// Sets how many tasks wait at an entry.
-    pub fn set_demand(&mut self, entry: &EntryId, demand: u32) {
-        self.accounts.get_or_insert_with(entry.clone(), Account::default).demand = demand;
+    /// Sets how many more credits an entry asks for.
+    pub fn set_demand(&mut self, now: Instant, entry: &EntryId, demand: u32) {
+        let account = self.accounts.get_or_insert_with(entry.clone(), Account::default);
+        account.demand = demand;
+        account.demand_until = Some(now + DEMAND_LIFETIME);
     }
 
     /// Takes back credits that an entry does not use.
     pub fn on_returned(&mut self, entry: &EntryId, credits: u32) {
         if let Some(account) = self.accounts.get_mut(entry) {
-            account.outstanding = account.outstanding.saturating_sub(credits);
+            let unused = account.outstanding.len().min(credits as usize);
+            account.outstanding.drain(..unused);
         }
     }
 
@@ -68,11 +95,14 @@
 
     /// Returns the number of credits that entries hold.
     pub fn outstanding(&self) -> u32 {
-        self.accounts.values().map(|account| account.outstanding).sum()
+        self.accounts.values().map(|account| account.outstanding.len() as u32).sum()
     }
 
-    /// Hands out what is free, one credit at a time in turn, to entries with tasks waiting.
-    pub fn issue(&mut self) -> Vec<(EntryId, u32)> {
+    /// Hands out what is free, one credit at a time in turn, to entries that ask for more.
+    pub fn issue(&mut self, now: Instant) -> Vec<(EntryId, u32)> {
+        for (_, account) in self.accounts.iter_mut() {
+            account.lapse(now);
+        }
         let mut free = self.capacity.saturating_sub(self.held + self.outstanding());
         let mut issued: SortedMap<EntryId, u32> = SortedMap::new();
         let count = self.accounts.len();
@@ -82,11 +112,12 @@
             self.next = turn + 1;
             let (entry, account) =
                 self.accounts.iter_mut().nth(turn).expect("the turn is in range");
-            if account.outstanding >= account.demand {
+            if !account.wants_more(now) {
                 idle_turns += 1;
                 continue;
             }
-            account.outstanding += 1;
+            account.demand -= 1;
+            account.outstanding.push_back(now + CREDIT_LIFETIME);
             free -= 1;
             idle_turns = 0;
             *issued.get_or_insert_with(entry.clone(), || 0) += 1;
--- a/crates/policy/src/fair_queue.rs
+++ b/crates/policy/src/fair_queue.rs
@@ -110,6 +110,11 @@
         Some((customer, job))
     }
 
+    /// Counts a task of the customer as running that was not taken from this queue.
+    pub fn on_adopted(&mut self, customer: &CustomerName) {
+        self.lane(customer).running += 1;
+    }
+
     /// Counts a task of the customer as ended.
     pub fn on_end(&mut self, customer: &CustomerName) {
         let lane = self.lane(customer);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod allotment;
+mod asks;
 mod credit;
 mod estimate;
 mod fair_queue;
@@ -12,6 +13,7 @@
 
 pub use admission::{Admission, Limits, Refusal};
 pub use allotment::allotment;
+pub use asks::{Askable, Asks};
 pub use credit::CreditIssuer;
 pub use estimate::Estimates;
 pub use fair_queue::FairQueue;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::asks::Askable;
 use cowslipwing_types::{Incarnation, SortedMap};
 
 /// Weight of a new observation of an endpoint's speed.
@@ -47,6 +48,7 @@
     slowness: f64,
     failures: u32,
     leaving: bool,
+    connected: bool,
 }
 
 impl Agent {
@@ -86,6 +88,7 @@
             slowness: 1.0,
             failures: 0,
             leaving,
+            connected: false,
         });
         agent.capacity = capacity;
         agent.leaving = leaving;
@@ -103,16 +106,18 @@
         }
     }
 
-    /// Voids the credits of an agent whose connection is gone.
-    pub fn void_credits(&mut self, id: &Incarnation) {
+    /// Notes whether an agent can be reached; its credits are void while it cannot.
+    pub fn set_connected(&mut self, id: &Incarnation, connected: bool) {
         if let Some(agent) = self.agents.get_mut(id) {
+            agent.connected = connected;
             agent.credits = 0;
         }
     }
 
-    /// Returns the credits of an agent that are not needed.
-    pub fn take_credits(&mut self, id: &Incarnation) -> u32 {
-        self.agents.get_mut(id).map_or(0, |agent| std::mem::take(&mut agent.credits))
+    /// Gives up all credits and returns how many each agent gets back.
+    pub fn take_all_credits(&mut self) -> Vec<(Incarnation, u32)> {
+        let held = self.agents.iter_mut().filter(|(_, agent)| agent.credits > 0);
+        held.map(|(id, agent)| (id.clone(), std::mem::take(&mut agent.credits))).collect()
     }
 
     /// Returns the credits held and tasks running at an agent.
@@ -125,9 +130,20 @@
         self.agents.values().any(|agent| !agent.leaving && agent.capacity.fits(need))
     }
 
+    /// Returns the agents worth asking for credits.
+    pub fn askable(&self) -> Vec<Askable> {
+        let present = self.agents.iter().filter(|(_, agent)| agent.connected && !agent.leaving);
+        present.map(|(id, agent)| Askable { id: id.clone(), slots: agent.capacity.slots }).collect()
+    }
+
+    /// Returns the credits held from all agents.
+    pub fn credits(&self) -> u32 {
+        self.agents.values().map(|agent| agent.credits).sum()
+    }
+
     /// Returns the slots of all agents that are not leaving.
     pub fn slots(&self) -> u32 {
-        let present = self.agents.values().filter(|agent| !agent.leaving);
+        let present = self.agents.values().filter(|agent| agent.connected && !agent.leaving);
         present.map(|agent| agent.capacity.slots).sum()
     }
 
@@ -159,6 +175,21 @@
         Some(id.clone())
     }
 
+    /// Gives back a credit that was chosen and not used.
+    pub fn on_unused(&mut self, id: &Incarnation) {
+        if let Some(agent) = self.agents.get_mut(id) {
+            agent.credits += 1;
+            agent.running = agent.running.saturating_sub(1);
+        }
+    }
+
+    /// Counts a task as running that an earlier owner has sent.
+    pub fn on_adopted(&mut self, id: &Incarnation) {
+        if let Some(agent) = self.agents.get_mut(id) {
+            agent.running += 1;
+        }
+    }
+
     /// Notes that a task has left an agent without having run.
     pub fn on_returned(&mut self, id: &Incarnation) {
         if let Some(agent) = self.agents.get_mut(id) {
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -53,6 +53,10 @@
         http: address("entry.http", &raw.http)?,
         rpc: address("entry.rpc", &raw.rpc)?,
         log: address("entry.log", &raw.log)?,
+        contact: match raw.contact.as_str() {
+            "" => None,
+            text => Some(address("entry.contact", text)?),
+        },
     })
 }
 
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -47,6 +47,8 @@
     pub rpc: SocketAddr,
     /// Address of the platform's log.
     pub log: SocketAddr,
+    /// Address of the balancer before the entries.
+    pub contact: Option<SocketAddr>,
 }
 
 /// Settings of an agent.
--- a/crates/types/src/key.rs
+++ b/crates/types/src/key.rs
@@ -6,9 +6,10 @@
 
 use compact_str::CompactString;
 use snafu::Snafu;
-use uuid::Uuid;
+use uuid::{NoContext, Timestamp, Uuid};
 
 use crate::clock::from_millis;
+use crate::hash::stable_hash;
 use crate::id::{CustomerName, NameError, check_name};
 use crate::number::{RANGES, RangeId, TaskIndex};
 
@@ -44,6 +45,13 @@
         &self.0
     }
 
+    /// Makes a key that shows when it was made.
+    pub fn generate(made_at: SystemTime) -> Self {
+        let since = made_at.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let time = Timestamp::from_unix(NoContext, since.as_secs(), since.subsec_nanos());
+        Self(Uuid::new_v7(time).to_string().into())
+    }
+
     /// Returns when the key was made, where a UUID of version 7 shows it.
     pub fn made_at(&self) -> Option<SystemTime> {
         let uuid = Uuid::parse_str(&self.0).ok()?;
@@ -92,9 +100,7 @@
     /// ```
     pub fn range(&self) -> RangeId {
         let text = self.customer.as_str().bytes().chain([0]).chain(self.key.as_str().bytes());
-        let hash = fnv1a(text);
-        let folded = (hash >> 32) ^ hash;
-        RangeId::new((folded % u64::from(RANGES)) as u32)
+        RangeId::new((stable_hash(text) % u64::from(RANGES)) as u32)
     }
 }
 
@@ -118,12 +124,3 @@
         write!(f, "{}[{}]", self.job, self.index)
     }
 }
-
-fn fnv1a<I>(bytes: I) -> u64
-where
-    I: Iterator<Item = u8>,
-{
-    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
-    bytes.fold(OFFSET_BASIS, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME))
-}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -1,6 +1,7 @@
 //! Ids, sizes, rates and the clock shared by every part.
 
 mod clock;
+mod hash;
 mod id;
 mod key;
 mod number;
@@ -8,6 +9,7 @@
 mod sorted;
 
 pub use clock::{Clock, ManualClock, SystemClock, from_millis, to_millis};
+pub use hash::stable_hash;
 pub use id::{
     AppendId, BatchName, CustomerName, EndpointName, EntryId, Incarnation, NameError, Site,
 };
--- a/crates/types/src/sorted.rs
+++ b/crates/types/src/sorted.rs
@@ -116,6 +116,11 @@
         self.entries.iter().map(|(k, _)| k)
     }
 
+    /// Returns the values in the order of their keys.
+    pub fn into_values(self) -> Vec<V> {
+        self.entries.into_iter().map(|(_, v)| v).collect()
+    }
+
     /// Walks the values in the order of their keys.
     pub fn values(&self) -> impl Iterator<Item = &V> {
         self.entries.iter().map(|(_, v)| v)
