Hand ranges over with all that their owner knows

Cause: in the rolling replacement 15 of 200 jobs were answered 'may have run' although none of their tasks had started (45 tasks), because a replaced agent counts as a missing history in every later takeover. Ruled out: losing jobs at the agents (agent-stopped answered 60 of 60) and at the entries (entry-stopped 80 of 80 on its own). Change: a drained owner first tells its heir what it knows, then the log names the heir.

--- a/crates/claims/src/takeover.rs
+++ b/crates/claims/src/takeover.rs
@@ -161,6 +161,20 @@
         Self { barrier, whole: false, found: SortedMap::new() }
     }
 
+    /// Returns the recovery of a range whose former owner has told all it knew and takes no more
+    /// jobs.
+    pub fn handed_over<I>(barrier: SystemTime, whole: bool, found: I) -> Self
+    where
+        I: IntoIterator<Item = (TaskId, Found)>,
+    {
+        Self { barrier, whole, found: found.into_iter().collect() }
+    }
+
+    /// Walks what agents held.
+    pub fn all_found(&self) -> impl Iterator<Item = (&TaskId, &Found)> {
+        self.found.iter()
+    }
+
     /// Returns the time until which the former owner may have started tasks.
     pub fn barrier(&self) -> SystemTime {
         self.barrier
@@ -175,11 +189,6 @@
     pub fn found(&self, task: &TaskId) -> Option<&Found> {
         self.found.get(task)
     }
-
-    /// Forgets what was found, once it has been remembered for long enough.
-    pub fn forget_found(&mut self) {
-        self.found = SortedMap::new();
-    }
 }
 
 /// Keeps a task's report that tells of a start before one that tells of none.
--- a/crates/daemon/src/agent/announce.rs
+++ b/crates/daemon/src/agent/announce.rs
@@ -36,7 +36,7 @@
     addresses.push(shared.contact.to_string());
     addresses.sort();
     addresses.dedup();
-    let calls = addresses.iter().map(|address| announce_to(address, announcement.clone()));
+    let calls = addresses.iter().map(|address| announce_to(shared, address, announcement.clone()));
     let replies: Vec<AnnounceReply> = join_all(calls).await.into_iter().flatten().collect();
     // The entry that has followed the log furthest knows the most members that are still there.
     let newest = replies.iter().max_by_key(|reply| reply.next_offset);
@@ -50,8 +50,12 @@
     shared.members.lock().expect("no holder of the members panics").clone()
 }
 
-async fn announce_to(address: &str, announcement: Announcement) -> Option<AnnounceReply> {
-    let mut client: PeerClient<Channel> = PeerClient::new(net::channel(address)?);
+async fn announce_to(
+    shared: &Shared,
+    address: &str,
+    announcement: Announcement,
+) -> Option<AnnounceReply> {
+    let mut client: PeerClient<Channel> = PeerClient::new(net::channel(address, shared.source)?);
     let reply = timeout(ANNOUNCE_LIMIT, client.announce(announcement)).await;
     reply.ok()?.ok().map(tonic::Response::into_inner)
 }
--- a/crates/daemon/src/agent/state.rs
+++ b/crates/daemon/src/agent/state.rs
@@ -1,7 +1,7 @@
 //! What the parts of an agent share.
 
 use std::collections::VecDeque;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
@@ -18,6 +18,7 @@
 
 use crate::convert::report_to;
 use crate::metrics::Metrics;
+use crate::net;
 
 /// Tasks remembered at once.
 const MAX_REMEMBERED_TASKS: usize = 400_000;
@@ -54,6 +55,8 @@
     pub(crate) announcement: Announcement,
     pub(crate) target: SocketAddr,
     pub(crate) contact: SocketAddr,
+    /// Local address from which this agent connects to entries.
+    pub(crate) source: Option<IpAddr>,
     pub(crate) slots: u32,
     pub(crate) answer_limit: ByteSize,
     pub(crate) clock: Arc<dyn Clock>,
@@ -93,7 +96,7 @@
             endpoint: agent.endpoint.to_string(),
             incarnation: incarnation.to_string(),
             site: config.site.to_string(),
-            address: rpc.to_string(),
+            address: agent.advertise.unwrap_or(rpc).to_string(),
             slots: agent.slots,
             cores: agent.cores,
             memory_mb: agent.memory_mb,
@@ -105,6 +108,7 @@
             announcement,
             target: agent.target,
             contact: agent.contact,
+            source: net::source_of(rpc),
             slots: agent.slots,
             answer_limit: config.limits.answer,
             clock,
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -4,6 +4,7 @@
 mod dispatch;
 mod follow;
 mod forward;
+mod gift;
 mod handover;
 mod http;
 mod jobs;
@@ -32,7 +33,7 @@
 use crate::net::{self, StartError};
 use crate::signal::Stop;
 
-use shared::Shared;
+use shared::{Addresses, Shared};
 
 /// Time in which jobs in flight may end before a stopping entry gives its ranges away.
 const DRAIN_LIMIT: Duration = Duration::from_secs(20);
@@ -59,10 +60,12 @@
         metrics: Metrics,
         stop: Stop,
     ) -> Result<Self, StartError> {
-        let log: Arc<dyn PlatformLog> = Arc::new(RemoteLog::new(&entry.log.to_string())?);
         let (http_listener, http) = net::listen("entry.http", entry.http).await?;
         let (rpc_listener, rpc) = net::listen("entry.rpc", entry.rpc).await?;
-        let shared = Arc::new(Shared::new(config, entry, http, rpc, clock, metrics, log));
+        let source = net::source_of(rpc);
+        let log: Arc<dyn PlatformLog> = Arc::new(RemoteLog::new(&entry.log.to_string(), source)?);
+        let addresses = Addresses { http, rpc: entry.advertise.unwrap_or(rpc), source };
+        let shared = Arc::new(Shared::new(config, entry, addresses, clock, metrics, log));
         log::info!("entry: {} listens on {http} and {rpc}.", shared.id);
         let loops = [
             follow::run(shared.clone()).boxed(),
--- a/crates/daemon/src/entry/follow.rs
+++ b/crates/daemon/src/entry/follow.rs
@@ -8,7 +8,7 @@
 use cowslipwing_policy::allotment;
 use cowslipwing_proto::peer_client::PeerClient;
 use cowslipwing_proto::{self as proto, FoldRequest, record::Body};
-use cowslipwing_types::{Offset, RangeId};
+use cowslipwing_types::{CustomerName, Offset, RangeId};
 use tokio::time::timeout;
 
 use super::append::append;
@@ -21,6 +21,8 @@
 const READ_INTERVAL: Duration = Duration::from_millis(250);
 /// Time in which a peer must send its fold.
 const FETCH_LIMIT: Duration = Duration::from_secs(1);
+/// Time in which the log must tell of a customer.
+const LEARN_LIMIT: Duration = Duration::from_millis(500);
 /// Records read at once.
 const PAGE_RECORDS: u32 = 1000;
 /// Records after which a new snapshot is appended.
@@ -35,8 +37,15 @@
     }
 }
 
+/// Lets the log tell of a customer that this entry does not know yet.
+pub(crate) async fn learn_customer(shared: &Shared, customer: &CustomerName) {
+    if shared.read(|fold| fold.contracts().get(customer).is_none()) {
+        catch_up(shared, LEARN_LIMIT).await;
+    }
+}
+
 /// Waits until the log was read to the tail it has now; false where it does not answer in time.
-pub(crate) async fn catch_up(shared: &Shared, limit: Duration) -> bool {
+async fn catch_up(shared: &Shared, limit: Duration) -> bool {
     let asked_at = shared.now();
     let caught_up = async {
         loop {
@@ -143,7 +152,8 @@
 
     /// Asks a peer for what it has folded.
     async fn fetch_fold(&self, shared: &Arc<Shared>) {
-        let contact = shared.contact.and_then(|address| net::channel(&address.to_string()));
+        let contact =
+            shared.contact.and_then(|address| net::channel(&address.to_string(), shared.source));
         let contact = contact.map(PeerClient::new);
         let others = shared.other_members().into_iter().map(|(_, client)| client);
         for mut client in others.chain(contact) {
@@ -194,7 +204,7 @@
     let members = shared.members();
     let version = shared.read(|fold| fold.members().version());
     lock(&shared.votes).follow(version);
-    for (id, _) in members.iter() {
+    for id in members.iter().map(|(id, _)| id).filter(|id| **id != shared.id) {
         shared.peer(id);
     }
     lock(&shared.peers).retain(|id, _| members.contains(id));
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -9,6 +9,7 @@
 use tokio::sync::oneshot;
 use tracing::{Instrument, Span, info_span};
 
+use super::follow;
 use super::jobs::{self, Submitted};
 use super::shard::Reply;
 use super::shared::Shared;
@@ -141,6 +142,9 @@
     trace::continue_from(&span, &message.traceparent);
     let _in_flight = shared.begin_request();
     let served = async {
+        if let Ok(customer) = message.customer.parse() {
+            follow::learn_customer(shared, &customer).await;
+        }
         match read(shared, message) {
             Ok(req) => serve_here(shared, &req).await,
             Err(error) => Try::Problem(error.problem()),
--- a/crates/daemon/src/entry/handover.rs
+++ b/crates/daemon/src/entry/handover.rs
@@ -4,10 +4,12 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use cowslipwing_proto::{RangeEpoch, RangeTakeover, record::Body};
+use cowslipwing_fold::MemberSet;
+use cowslipwing_proto::{Gift, RangeEpoch, RangeGift, RangeTakeover, record::Body};
 use cowslipwing_types::{EntryId, RangeId, SortedMap};
 
 use super::follow::append_or_warn;
+use super::gift;
 use super::membership;
 use super::shared::Shared;
 
@@ -52,9 +54,8 @@
     let mut started = now;
     for (range, _) in shared.owned() {
         let best = shared.best_owner(&members, range).unwrap_or_else(|| shared.id.clone());
-        if best == shared.id {
+        if best == shared.id && keep(shared, range) {
             wanted.remove(&range);
-            shared.shard(range).draining = false;
             continue;
         }
         let (known, since) = wanted.get_or_insert_with(range, || (best.clone(), now));
@@ -71,33 +72,57 @@
     }
 }
 
+/// Goes on serving a range that was to be given away; false where it was given already.
+fn keep(shared: &Shared, range: RangeId) -> bool {
+    let mut shard = shared.shard(range);
+    shard.draining &= shard.given;
+    !shard.given
+}
+
 /// Stops new jobs of the ranges, and gives away those that have no open job.
 async fn give_drained(shared: &Shared, ranges: &[RangeId], started: Instant) {
     let overdue = shared.now() >= started + DRAIN_LIMIT;
     let members = shared.members();
-    let mut gifts: SortedMap<EntryId, Vec<RangeEpoch>> = SortedMap::new();
+    let mut gifts: SortedMap<EntryId, Gift> = SortedMap::new();
     for range in ranges {
-        let epoch = {
-            let mut shard = shared.shard(*range);
-            shard.draining = true;
-            if !(shard.open.is_empty() || overdue) {
-                continue;
-            }
-            shard.epoch.next()
+        let Some(heir) = heir_of(shared, &members, *range) else {
+            continue;
         };
-        let mut others = members.iter().map(|(id, _)| id).filter(|id| **id != shared.id);
-        let best = shared.best_owner(&members, *range).filter(|id| *id != shared.id);
-        let heir = best.or_else(|| others.find(|id| shared.is_live(id)).cloned());
-        if let Some(heir) = heir {
-            let claim = RangeEpoch { range: range.get(), epoch: epoch.get() };
-            gifts.get_or_insert_with(heir, Vec::new).push(claim);
-        }
+        let mut shard = shared.shard(*range);
+        shard.draining = true;
+        let gift = match gift::wrap(shared, &mut shard, *range) {
+            Some(gift) => gift,
+            None if overdue => gift::bare(&shard, *range),
+            None => continue,
+        };
+        gifts.get_or_insert_with(heir, Gift::default).ranges.push(gift);
+    }
+    for (heir, gift) in gifts.iter() {
+        give(shared, heir, gift).await;
     }
-    for (heir, ranges) in gifts.iter() {
-        log::info!("ranges: gives {} to {heir}.", ranges.len());
-        let takeover = RangeTakeover { owner: heir.to_string(), ranges: ranges.clone() };
-        append_or_warn(shared, "a handover", Body::Takeover(takeover)).await;
+}
+
+/// Tells the heir what is known of the ranges, then makes it their owner.
+async fn give(shared: &Shared, heir: &EntryId, gift: &Gift) {
+    if !gift::send(shared, heir, gift).await {
+        return;
+    }
+    let claim = |gift: &RangeGift| RangeEpoch { range: gift.range, epoch: gift.epoch };
+    let ranges = gift.ranges.iter().map(claim).collect();
+    log::info!("ranges: gives {} to {heir}.", gift.ranges.len());
+    let takeover = RangeTakeover { owner: heir.to_string(), ranges };
+    append_or_warn(shared, "a handover", Body::Takeover(takeover)).await;
+}
+
+/// Returns the entry that a range goes to; this entry itself where it ranks first again.
+fn heir_of(shared: &Shared, members: &MemberSet, range: RangeId) -> Option<EntryId> {
+    let best = shared.best_owner(members, range);
+    let stays = best.as_ref() == Some(&shared.id) && !shared.is_stopping();
+    if stays {
+        return best;
     }
+    let mut others = members.iter().map(|(id, _)| id).filter(|id| **id != shared.id);
+    best.filter(|id| *id != shared.id).or_else(|| others.find(|id| shared.is_live(id)).cloned())
 }
 
 fn has_successor(shared: &Shared) -> bool {
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -1,7 +1,6 @@
 //! Serves callers and operators over HTTP.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use cowslipwing_proto::{Contract, JobAnswer, JobState, JobSubmission, Problem};
 use cowslipwing_types::{ByteSize, JobId, JobKey, Version, from_millis, to_millis};
@@ -30,8 +29,6 @@
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 const KEY_CREATED: &str = "idempotency-key-created";
 const TRACEPARENT: &str = "traceparent";
-/// Time in which the log must tell of a contract that this entry does not know yet.
-const CATCH_UP_LIMIT: Duration = Duration::from_millis(500);
 /// Tries to make a key in a range that this entry owns.
 const KEY_TRIES: u32 = 4096;
 
@@ -91,10 +88,7 @@
         ),
         None => None,
     };
-    if submission::terms_of(shared, &customer).is_err() {
-        // Another entry may have published the contract a moment ago.
-        follow::catch_up(shared, CATCH_UP_LIMIT).await;
-    }
+    follow::learn_customer(shared, &customer).await;
     let traceparent = trace::traceparent_of(&Span::current());
     submission::check(shared, JobId { customer, key }, made_at, submission, traceparent)
 }
--- a/crates/daemon/src/entry/link.rs
+++ b/crates/daemon/src/entry/link.rs
@@ -146,7 +146,7 @@
     address: String,
     mut rx: mpsc::UnboundedReceiver<Message>,
 ) {
-    let Some(channel) = net::channel(&address) else {
+    let Some(channel) = net::channel(&address, shared.source) else {
         log::warn!("agents: {id} announced the unusable address {address:?}.");
         return;
     };
--- a/crates/daemon/src/entry/peers.rs
+++ b/crates/daemon/src/entry/peers.rs
@@ -5,8 +5,8 @@
 use cowslipwing_claims::Confirmation;
 use cowslipwing_proto::peer_server::{Peer, PeerServer};
 use cowslipwing_proto::{
-    AnnounceReply, Announcement, FoldRequest, FoldState, ForwardReply, ForwardRequest, Heard,
-    LeaseCheck, LeaseReply, PromiseReply, PromiseRequest,
+    AnnounceReply, Announcement, FoldRequest, FoldState, ForwardReply, ForwardRequest, Gift,
+    GiftReply, Heard, LeaseCheck, LeaseReply, PromiseReply, PromiseRequest,
 };
 use cowslipwing_types::{EntryId, Incarnation, MemberVersion};
 use tokio::net::TcpListener;
@@ -14,7 +14,7 @@
 use tonic::{Request, Response, Status};
 
 use super::shared::{Shared, lock};
-use super::{forward, link, takeover};
+use super::{forward, gift, link, takeover};
 use crate::convert::claims_of;
 use crate::net;
 
@@ -113,6 +113,11 @@
         Ok(Response::new(reply))
     }
 
+    async fn give(&self, req: Request<Gift>) -> Result<Response<GiftReply>, Status> {
+        gift::accept(&self.shared, req.into_inner());
+        Ok(Response::new(GiftReply {}))
+    }
+
     async fn fetch_fold(&self, _: Request<FoldRequest>) -> Result<Response<FoldState>, Status> {
         Ok(Response::new(self.shared.read(|fold| FoldState::from(fold))))
     }
--- a/crates/daemon/src/entry/shard.rs
+++ b/crates/daemon/src/entry/shard.rs
@@ -55,6 +55,8 @@
     pub(crate) serving: Serving,
     /// No new job is taken on, since the range is to be given away.
     pub(crate) draining: bool,
+    /// Another entry was told all that is known, so that no job may be taken on again.
+    pub(crate) given: bool,
     pub(crate) open: SortedMap<JobId, OpenJob>,
     pub(crate) ended: SortedMap<JobId, EndedJob>,
 }
@@ -65,6 +67,7 @@
             epoch: Epoch::default(),
             serving: Serving::Elsewhere,
             draining: false,
+            given: false,
             open: SortedMap::new(),
             ended: SortedMap::new(),
         }
@@ -82,6 +85,7 @@
         }
         self.epoch = epoch;
         self.draining = false;
+        self.given = false;
         self.serving = if is_mine { Serving::TakingOver } else { Serving::Elsewhere };
         self.ended = SortedMap::new();
         std::mem::take(&mut self.open).into_values()
--- a/crates/daemon/src/entry/shared.rs
+++ b/crates/daemon/src/entry/shared.rs
@@ -1,6 +1,6 @@
 //! What the parts of an entry share; each piece stands under its own lock.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::{Duration, Instant};
@@ -10,7 +10,7 @@
 use cowslipwing_fold::{Fold, MemberSet, Outcome};
 use cowslipwing_log::PlatformLog;
 use cowslipwing_policy::{Asks, Estimates, FairQueue, Need, Placement};
-use cowslipwing_proto::{self as proto, peer_client::PeerClient};
+use cowslipwing_proto::{self as proto, RangeGift, peer_client::PeerClient};
 use cowslipwing_settings::{Config, EntryConfig, LeaseConfig, LimitConfig};
 use cowslipwing_types::{
     AppendId, Clock, CustomerName, EntryId, Epoch, Incarnation, JobId, MemberVersion, RANGES,
@@ -128,11 +128,21 @@
     }
 }
 
+/// The addresses of an entry.
+pub(crate) struct Addresses {
+    pub(crate) http: SocketAddr,
+    /// Address under which others reach it.
+    pub(crate) rpc: SocketAddr,
+    pub(crate) source: Option<IpAddr>,
+}
+
 /// The state of an entry.
 pub(crate) struct Shared {
     pub(crate) id: EntryId,
     pub(crate) site: Site,
     pub(crate) contact: Option<SocketAddr>,
+    /// Local address from which this entry connects to others.
+    pub(crate) source: Option<IpAddr>,
     pub(crate) limits: LimitConfig,
     pub(crate) lease: LeaseConfig,
     pub(crate) member: proto::Member,
@@ -148,6 +158,8 @@
     pub(crate) dispatch: Mutex<Dispatch>,
     pub(crate) links: Mutex<SortedMap<Incarnation, Link>>,
     pub(crate) peers: Mutex<SortedMap<EntryId, PeerState>>,
+    /// What former owners have told of ranges that this entry is to have.
+    pub(crate) gifts: Mutex<SortedMap<RangeId, RangeGift>>,
     shards: Vec<Mutex<Shard>>,
     pub(crate) open_jobs: AtomicU32,
     pub(crate) requests: AtomicU32,
@@ -164,8 +176,7 @@
     pub(crate) fn new(
         config: &Config,
         entry: &EntryConfig,
-        http: SocketAddr,
-        rpc: SocketAddr,
+        addresses: Addresses,
         clock: Arc<dyn Clock>,
         metrics: Metrics,
         log: Arc<dyn PlatformLog>,
@@ -176,8 +187,8 @@
         let member = proto::Member {
             entry: id.to_string(),
             site: config.site.to_string(),
-            http: http.to_string(),
-            rpc: rpc.to_string(),
+            http: addresses.http.to_string(),
+            rpc: addresses.rpc.to_string(),
         };
         let ages = config.lease.ages;
         let remembered = ages.ageless_retention.max(ages.retention) + ages.skew * 2;
@@ -185,6 +196,7 @@
             id,
             site: config.site.clone(),
             contact: entry.contact,
+            source: addresses.source,
             limits: config.limits,
             lease: config.lease,
             member,
@@ -200,6 +212,7 @@
             dispatch: Mutex::default(),
             links: Mutex::default(),
             peers: Mutex::default(),
+            gifts: Mutex::default(),
             shards: (0..RANGES).map(|_| Mutex::new(Shard::new())).collect(),
             open_jobs: AtomicU32::new(0),
             requests: AtomicU32::new(0),
@@ -252,7 +265,7 @@
         if let Some(known) = peers.get(id) {
             return Some(known.client.clone());
         }
-        let client = PeerClient::new(net::channel(&address)?)
+        let client = PeerClient::new(net::channel(&address, self.source)?)
             .max_decoding_message_size(net::MAX_MESSAGE_BYTES);
         let state = PeerState {
             client: client.clone(),
--- a/crates/daemon/src/entry/takeover.rs
+++ b/crates/daemon/src/entry/takeover.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 
 use super::append::append;
+use super::gift;
 use super::shard::Serving;
 use super::shared::{Shared, lock};
 use crate::convert::{claims_to, found_of, ranges_of};
@@ -118,6 +119,8 @@
     for (range, epoch) in first {
         shared.shard(range).serve(epoch, Recovery::first_owner());
     }
+    let later: Vec<_> =
+        later.into_iter().filter(|(range, epoch)| !gift::open(&shared, *range, *epoch)).collect();
     shared.work.notify_one();
     if later.is_empty() {
         return;
@@ -238,7 +241,7 @@
         .iter()
         .map(|takeover| RangeEpoch { range: takeover.range().get(), epoch: takeover.epoch().get() })
         .collect();
-    let calls = agents.iter().map(|(id, known)| ask_agent(id, &known.address, &ranges));
+    let calls = agents.iter().map(|(id, known)| ask_agent(shared, id, &known.address, &ranges));
     for (id, reply) in join_all(calls).await {
         match reply {
             Some(reply) => take_survey(&mut takeovers, &id, &reply),
@@ -253,24 +256,22 @@
 }
 
 async fn ask_agent(
+    shared: &Shared,
     id: &Incarnation,
     address: &str,
     ranges: &[RangeEpoch],
 ) -> (Incarnation, Option<SurveyReply>) {
     let req = SurveyRequest { incarnation: id.to_string(), ranges: ranges.to_vec() };
     for _ in 0..SURVEY_TRIES {
-        let Some(channel) = net::channel(address) else {
+        let Some(channel) = net::channel(address, shared.source) else {
             break;
         };
         let mut client =
             AgentClient::new(channel).max_decoding_message_size(net::MAX_MESSAGE_BYTES);
-        match timeout(SURVEY_LIMIT, client.survey(req.clone())).await {
-            Ok(Ok(reply)) => {
-                let reply = reply.into_inner();
-                let is_same = reply.incarnation == id.as_str();
-                return (id.clone(), is_same.then_some(reply));
-            }
-            Ok(Err(_)) | Err(_) => {}
+        if let Ok(Ok(reply)) = timeout(SURVEY_LIMIT, client.survey(req.clone())).await {
+            let reply = reply.into_inner();
+            let is_same = reply.incarnation == id.as_str();
+            return (id.clone(), is_same.then_some(reply));
         }
     }
     (id.clone(), None)
--- a/crates/daemon/src/net.rs
+++ b/crates/daemon/src/net.rs
@@ -1,6 +1,6 @@
 //! Listeners and channels.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use snafu::{ResultExt, Snafu};
@@ -57,8 +57,14 @@
     Ok((listener, bound))
 }
 
+/// Returns the local address from which a process connects to others, so that they see who it is.
+pub(crate) fn source_of(listener: SocketAddr) -> Option<IpAddr> {
+    let ip = listener.ip();
+    (!ip.is_unspecified()).then_some(ip)
+}
+
 /// Returns a channel to one of the system's own processes; it connects when first needed.
-pub(crate) fn channel(address: &str) -> Option<Channel> {
+pub(crate) fn channel(address: &str, from: Option<IpAddr>) -> Option<Channel> {
     let socket: SocketAddr = address.parse().ok()?;
     let endpoint = Endpoint::try_from(format!("http://{socket}")).ok()?;
     let endpoint = endpoint
@@ -66,6 +72,7 @@
         .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
         .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
         .keep_alive_while_idle(true)
-        .tcp_nodelay(true);
+        .tcp_nodelay(true)
+        .local_address(from);
     Some(endpoint.connect_lazy())
 }
--- a/crates/log/src/client.rs
+++ b/crates/log/src/client.rs
@@ -1,6 +1,6 @@
 //! Client of a log served over the network.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -23,18 +23,19 @@
 }
 
 impl RemoteLog {
-    /// Returns a client of the log at an `IP:PORT` address.
+    /// Returns a client of the log at an `IP:PORT` address, which connects from a local address.
     ///
     /// # Errors
     ///
     /// Fails where the address is not an IP number and a port.
-    pub fn new(address: &str) -> Result<Self, LogError> {
+    pub fn new(address: &str, from: Option<IpAddr>) -> Result<Self, LogError> {
         let bad = || BadAddressSnafu { address }.build();
         let socket: SocketAddr = address.parse().map_err(|_| bad())?;
         let channel = Endpoint::try_from(format!("http://{socket}"))
             .map_err(|_| bad())?
             .connect_timeout(CONNECT_TIMEOUT)
             .timeout(CALL_TIMEOUT)
+            .local_address(from)
             .connect_lazy();
         Ok(Self { client: PlatformLogClient::new(channel) })
     }
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -53,10 +53,8 @@
         http: address("entry.http", &raw.http)?,
         rpc: address("entry.rpc", &raw.rpc)?,
         log: address("entry.log", &raw.log)?,
-        contact: match raw.contact.as_str() {
-            "" => None,
-            text => Some(address("entry.contact", text)?),
-        },
+        contact: optional_address("entry.contact", &raw.contact)?,
+        advertise: optional_address("entry.advertise", &raw.advertise)?,
     })
 }
 
@@ -70,6 +68,7 @@
         queue: raw.queue,
         cores: count("agent.cores", raw.cores, 1)?,
         memory_mb: count("agent.memory_mb", raw.memory_mb, 1024)?,
+        advertise: optional_address("agent.advertise", &raw.advertise)?,
     })
 }
 
@@ -160,6 +159,10 @@
     socket.context(BadValueSnafu { key, value: text, remedy: "write it as IP:PORT" })
 }
 
+fn optional_address(key: &'static str, text: &str) -> Checked<Option<SocketAddr>> {
+    if text.is_empty() { Ok(None) } else { address(key, text).map(Some) }
+}
+
 fn count(key: &'static str, given: u32, default: u32) -> Checked<u32> {
     const MAX_COUNT: u32 = 1 << 24;
     match given {
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -49,6 +49,8 @@
     pub log: SocketAddr,
     /// Address of the balancer before the entries.
     pub contact: Option<SocketAddr>,
+    /// Address under which others reach `rpc`, where it is another one.
+    pub advertise: Option<SocketAddr>,
 }
 
 /// Settings of an agent.
@@ -70,6 +72,8 @@
     pub cores: u32,
     /// Memory of the endpoint in MB.
     pub memory_mb: u32,
+    /// Address under which others reach `rpc`, where it is another one.
+    pub advertise: Option<SocketAddr>,
 }
 
 /// Limits on what callers send.
--- /dev/null
+++ b/crates/testkit/src/caller.rs
@@ -0,0 +1,92 @@
+//! A caller that speaks HTTP to an entry.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cowslipwing_proto::{JobAnswer, Problem};
+use http_body_util::BodyExt;
+use volo::net::Address;
+use volo_http::body::Body;
+use volo_http::client::{Client, ClientBuilder};
+use volo_http::http::{HeaderMap, Method};
+
+/// Time in which a connection must be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What an entry answered.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body as text.
+    pub body: String,
+}
+
+impl Reply {
+    /// Returns the answer of a job, where it is one.
+    pub fn job(&self) -> Option<JobAnswer> {
+        let answer: JobAnswer = serde_json::from_str(&self.body).ok()?;
+        (!answer.key.is_empty()).then_some(answer)
+    }
+
+    /// Returns the refusal, where it is one.
+    pub fn problem(&self) -> Option<Problem> {
+        let problem: Problem = serde_json::from_str(&self.body).ok()?;
+        (!problem.kind.is_empty()).then_some(problem)
+    }
+}
+
+/// A caller or an operator.
+#[derive(Clone)]
+pub struct Caller {
+    client: Client,
+}
+
+impl Caller {
+    /// Returns a caller.
+    pub fn new() -> Self {
+        let mut builder = ClientBuilder::new();
+        builder.set_connect_timeout(CONNECT_TIMEOUT);
+        Self { client: builder.build().expect("a plain client can be built") }
+    }
+
+    /// Sends a request; none comes back where the connection broke.
+    pub async fn send(
+        &self,
+        entry: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Option<Reply> {
+        let mut req = self
+            .client
+            .request(method, format!("http://{entry}{path}"))
+            .address(Address::from(entry));
+        for (name, value) in headers {
+            req = req.header(*name, *value);
+        }
+        let response = req.body(Body::from(body.to_owned())).send().await.ok()?;
+        let (status, headers) = (response.status().as_u16(), response.headers().clone());
+        let bytes = response.into_body().collect().await.ok()?.to_bytes();
+        Some(Reply { status, headers, body: String::from_utf8_lossy(&bytes).into_owned() })
+    }
+
+    /// Submits a job under a key.
+    pub async fn submit(&self, entry: SocketAddr, key: &str, job: &str) -> Option<Reply> {
+        self.send(entry, Method::POST, "/v1/jobs", &[("idempotency-key", key)], job).await
+    }
+
+    /// Gets a resource.
+    pub async fn get(&self, entry: SocketAddr, path: &str) -> Option<Reply> {
+        self.send(entry, Method::GET, path, &[], "").await
+    }
+}
+
+impl Default for Caller {
+    fn default() -> Self {
+        Self::new()
+    }
+}
