--- a/crates/daemon/src/entry/dispatch.rs
+++ b/crates/daemon/src/entry/dispatch.rs
@@ -1,7 +1,7 @@
 //! Sends waiting tasks to agents, each with a credit.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cowslipwing_fold::MemberSet;
 use cowslipwing_proto::StartTask;
@@ -11,15 +11,13 @@
 
 use super::link::{self, Message};
 use super::shard::{OpenJob, Shard};
-use super::shared::{Dispatch, Queued, SentTask, Shared, lock};
+use super::shared::{Queued, Shared, lock};
 use super::submission::declared;
 use crate::convert::task_to;
 use crate::trace;
 
 /// Time after which the dispatcher looks again although nothing has woken it.
 const LOOK_INTERVAL: Duration = Duration::from_millis(20);
-/// Time for which unused credits are kept.
-const CREDIT_HOLD: Duration = Duration::from_millis(50);
 
 /// Sends tasks until the entry stops.
 pub(crate) async fn run(shared: Arc<Shared>) {
@@ -42,9 +40,7 @@
     let index = shard.open.get_mut(&queued.job).and_then(|open| open.job.send_next(&agent));
     let Some((index, open)) = index.zip(shard.open.get(&queued.job)) else {
         drop(shard);
-        let mut dispatch = lock(&shared.dispatch);
-        dispatch.placement.on_unused(&agent);
-        dispatch.queue.on_end(&queued.job.customer);
+        lock(&shared.dispatch).dispatcher.on_unused(&queued.job.customer, &agent);
         return true;
     };
     let start = start_message(open, &queued.job, index, epoch.get());
@@ -56,30 +52,25 @@
 /// Chooses the next task and its agent, under a lease.
 fn choose(shared: &Shared, members: &MemberSet) -> Option<(Queued, Incarnation)> {
     let mut dispatch = lock(&shared.dispatch);
-    let Dispatch { queue, placement, .. } = &mut *dispatch;
     let leases = lock(&shared.leases);
     let usable = lock(&shared.usable);
     let now = shared.now();
-    let fits = |queued: &Queued| {
+    let may_start = |queued: &Queued| {
         let epoch = shared.read(|fold| fold.ranges().epoch(queued.range));
         leases.covers(queued.range, epoch, now)
-            && placement.can_take(queued.need, |agent| usable.may_use(members, queued.range, agent))
     };
-    let (customer, queued) = queue.pop(fits)?;
-    let agent = placement.choose(queued.need, |agent| usable.may_use(members, queued.range, agent));
-    if agent.is_none() {
-        queue.on_end(&customer);
-    }
-    Some((queued, agent?))
+    let may_use =
+        |queued: &Queued, agent: &Incarnation| usable.may_use(members, queued.range, agent);
+    let (_, queued, agent) = dispatch.dispatcher.next(may_start, may_use)?;
+    Some((queued, agent))
 }
 
 fn note_sent(shared: &Shared, open: &OpenJob, agent: &Incarnation, job: &JobId, index: TaskIndex) {
     let task = &open.submission.tasks[index.get() as usize];
-    let mut dispatch = lock(&shared.dispatch);
     let declared = declared(task).ok().flatten();
-    let expected = dispatch.estimates.get(&job.customer, &task.kind, declared);
-    let sent = SentTask { kind: task.kind.as_str().into(), expected };
-    dispatch.note_sent(agent, TaskId { job: job.clone(), index }, sent);
+    let id = TaskId { job: job.clone(), index };
+    let mut dispatch = lock(&shared.dispatch);
+    dispatch.dispatcher.on_sent(agent, &job.customer, id, &task.kind, declared);
     shared.metrics.count("entry.tasks.sent", 1);
 }
 
@@ -111,11 +102,7 @@
     };
     debug_assert_eq!(job.range(), range);
     for (index, agent) in open.job.sent() {
-        {
-            let mut dispatch = lock(&shared.dispatch);
-            dispatch.queue.on_adopted(&job.customer);
-            dispatch.placement.on_adopted(agent);
-        }
+        lock(&shared.dispatch).dispatcher.on_adopted(agent, &job.customer);
         note_sent(shared, open, agent, job, index);
         let start = start_message(open, job, index, shard.epoch.get());
         link::send(shared, agent, Message::Start(Box::new(start)));
@@ -123,35 +110,15 @@
 }
 
 fn ask_for_credits(shared: &Shared) {
-    let mut dispatch = lock(&shared.dispatch);
-    let want = dispatch.queue.demand().saturating_sub(dispatch.placement.credits());
-    if want == 0 {
-        return;
-    }
-    let agents = dispatch.placement.askable();
-    let plan = dispatch.asks.plan(shared.now(), want, &agents, rand::random::<u32>() as usize);
-    drop(dispatch);
-    for (agent, credits) in plan {
+    let start = rand::random::<u32>() as usize;
+    let asks = lock(&shared.dispatch).dispatcher.asks(shared.now(), start);
+    for (agent, credits) in asks {
         link::send(shared, &agent, Message::Demand(credits));
     }
 }
 
-/// Returns credits once nothing has waited for a while.
 fn return_unused(shared: &Shared) {
-    let now = shared.now();
-    let mut dispatch = lock(&shared.dispatch);
-    let is_idle = dispatch.queue.demand() == 0 && dispatch.placement.credits() > 0;
-    if !is_idle {
-        dispatch.idle_since = None;
-        return;
-    }
-    let since: Instant = *dispatch.idle_since.get_or_insert(now);
-    if now < since + CREDIT_HOLD {
-        return;
-    }
-    dispatch.idle_since = None;
-    let returned = dispatch.placement.take_all_credits();
-    drop(dispatch);
+    let returned = lock(&shared.dispatch).dispatcher.returns(shared.now());
     for (agent, credits) in returned {
         link::send(shared, &agent, Message::Return(credits));
     }
--- a/crates/daemon/src/entry/follow.rs
+++ b/crates/daemon/src/entry/follow.rs
@@ -216,6 +216,8 @@
         owners.map(|(range, found)| (range, found.epoch, found.owner == shared.id)).collect()
     });
     for (range, epoch, is_mine) in owners {
+        // An older epoch is confirmed no more, whoever asks.
+        lock(&shared.votes).promise(range, epoch);
         let lost = shared.shard(range).follow(epoch, is_mine);
         for open in lost {
             on_moved(shared, range, open);
@@ -246,7 +248,7 @@
     let mut dispatch = lock(&shared.dispatch);
     for (customer, terms) in terms {
         let limit = allotment(terms.concurrency, rank, entries).max(1);
-        dispatch.queue.set_terms(&customer, terms.share, limit);
+        dispatch.dispatcher.queue.set_terms(&customer, terms.share, limit);
     }
 }
 
--- a/crates/daemon/src/entry/jobs.rs
+++ b/crates/daemon/src/entry/jobs.rs
@@ -107,7 +107,7 @@
     {
         let mut dispatch = lock(&shared.dispatch);
         dispatch.count_open(&checked.job.customer, 1);
-        dispatch.queue.push(&checked.job.customer, queued, job.waiting() as u32, cost);
+        dispatch.dispatcher.queue.push(&checked.job.customer, queued, job.waiting() as u32, cost);
     }
     shared.open_jobs.fetch_add(1, Ordering::Relaxed);
     shared.metrics.count("entry.jobs.opened", 1);
@@ -135,16 +135,16 @@
 ) -> Result<Duration, ApiError> {
     let tasks = &checked.submission.tasks;
     let dispatch = lock(&shared.dispatch);
-    let slots = dispatch.placement.slots();
+    let slots = dispatch.dispatcher.placement.slots();
     let mut work = Duration::ZERO;
     for task in tasks {
         let declared = declared(task)?;
-        work += dispatch.estimates.get(&checked.job.customer, &task.kind, declared);
+        work += dispatch.dispatcher.estimates.get(&checked.job.customer, &task.kind, declared);
     }
     let count = tasks.len() as u32;
     let ahead = match slots {
         0 => Duration::ZERO,
-        _ => (dispatch.queue.work() + work) / slots,
+        _ => (dispatch.dispatcher.queue.work() + work) / slots,
     };
     let admission = Admission {
         open_jobs: shared.open_jobs.load(Ordering::Relaxed),
@@ -155,8 +155,9 @@
     let refused = |refusal| ApiError::Refused { refusal };
     admission.judge(count, terms, &shared.limits.jobs).map_err(refused)?;
     if slots > 0 {
-        let misfit =
-            |task: &Task| !dispatch.placement.fits_any(need_of(std::slice::from_ref(task)));
+        let misfit = |task: &Task| {
+            !dispatch.dispatcher.placement.fits_any(need_of(std::slice::from_ref(task)))
+        };
         if let Some((index, task)) = (0..).zip(tasks).find(|(_, task)| misfit(task)) {
             let kind = task.kind.as_str().into();
             return Err(refused(Refusal::NeverFits { index, kind }));
@@ -268,8 +269,8 @@
     lock(&shared.hearsay).expire(now);
     link::forget_silent(shared);
     let dispatch = lock(&shared.dispatch);
-    shared.metrics.gauge("entry.tasks.waiting", u64::from(dispatch.queue.len()));
-    shared.metrics.gauge("entry.credits", u64::from(dispatch.placement.credits()));
+    shared.metrics.gauge("entry.tasks.waiting", u64::from(dispatch.dispatcher.queue.len()));
+    shared.metrics.gauge("entry.credits", u64::from(dispatch.dispatcher.placement.credits()));
 }
 
 /// Carries out what a change of a job asks for: taking tasks back, or sending the answer.
@@ -303,7 +304,7 @@
 pub(crate) fn forget_queued(shared: &Shared, range: RangeId, open: &OpenJob) {
     let job = open.job.id();
     let queued = Queued { job: job.clone(), range, need: open.need };
-    lock(&shared.dispatch).queue.remove(&job.customer, &queued);
+    lock(&shared.dispatch).dispatcher.queue.remove(&job.customer, &queued);
 }
 
 /// Counts a job as open no more.
--- a/crates/daemon/src/entry/link.rs
+++ b/crates/daemon/src/entry/link.rs
@@ -109,7 +109,7 @@
 
 fn forget(shared: &Shared, id: &Incarnation) {
     lock(&shared.links).remove(id);
-    lock(&shared.dispatch).forget_agent(id);
+    lock(&shared.dispatch).dispatcher.forget_agent(id);
     reports::on_agent_lost(shared, id);
 }
 
@@ -137,7 +137,7 @@
         slots: announcement.slots,
     };
     let leaving = announcement.leaving || is_withdrawn(shared, name_of(id.as_str()));
-    lock(&shared.dispatch).placement.set_agent(id, capacity, leaving);
+    lock(&shared.dispatch).dispatcher.placement.set_agent(id, capacity, leaving);
 }
 
 async fn run(
@@ -162,9 +162,9 @@
             while rx.try_recv().is_ok() {}
             let doubts = orders_in_doubt(&shared, &id);
             if doubts.is_empty() || forward_batch(&out, &id, doubts).await {
-                lock(&shared.dispatch).placement.set_connected(&id, true);
+                lock(&shared.dispatch).dispatcher.placement.set_connected(&id, true);
                 exchange(&shared, &id, &mut rx, out, stream.into_inner()).await;
-                lock(&shared.dispatch).placement.set_connected(&id, false);
+                lock(&shared.dispatch).dispatcher.placement.set_connected(&id, false);
             }
         }
         tokio::time::sleep(RECONNECT_PAUSE).await;
--- a/crates/daemon/src/entry/reports.rs
+++ b/crates/daemon/src/entry/reports.rs
@@ -1,6 +1,7 @@
 //! Takes in what agents report.
 
 use cowslipwing_claims::{JobPhase, Report, Stage};
+use cowslipwing_policy::Ending;
 use cowslipwing_proto::{FromAgent, TaskReport};
 use cowslipwing_types::{Incarnation, TaskId};
 
@@ -15,8 +16,7 @@
     }
     if batch.credits > 0 {
         let mut dispatch = lock(&shared.dispatch);
-        dispatch.placement.on_credits(agent, batch.credits);
-        dispatch.asks.on_credits(agent, batch.credits);
+        dispatch.dispatcher.on_credits(agent, batch.credits);
     }
     for message in &batch.reports {
         take_report(shared, agent, message);
@@ -43,8 +43,8 @@
     if changed && waits_again {
         let queued = Queued { job: task.job.clone(), range, need: open.need };
         let mut dispatch = lock(&shared.dispatch);
-        let cost = dispatch.estimates.get(&task.job.customer, "", None);
-        dispatch.queue.push(&task.job.customer, queued, 1, cost);
+        let cost = dispatch.dispatcher.estimates.get(&task.job.customer, "", None);
+        dispatch.dispatcher.queue.push(&task.job.customer, queued, 1, cost);
     }
     if changed {
         after_change(shared, &mut shard, range, &task.job);
@@ -53,20 +53,14 @@
 
 /// Learns from a task that an agent has no more.
 fn learn(shared: &Shared, agent: &Incarnation, task: &TaskId, report: &Report) {
-    let mut dispatch = lock(&shared.dispatch);
-    let Some(sent) = dispatch.note_back(agent, task) else {
-        return;
+    let ending = match report.stage {
+        Stage::Succeeded => Ending::Succeeded(report.run_time),
+        Stage::Errored | Stage::Unknown => Ending::Failed,
+        Stage::Queued | Stage::Started | Stage::NotStarted => Ending::NotStarted,
     };
-    match report.stage {
-        Stage::Succeeded => {
-            dispatch.estimates.observe(&task.job.customer, &sent.kind, report.run_time);
-            dispatch.placement.on_end(agent, sent.expected, report.run_time, true);
-            shared.metrics.time("entry.tasks.run", report.run_time);
-        }
-        Stage::Errored | Stage::Unknown => {
-            dispatch.placement.on_end(agent, sent.expected, report.run_time, false);
-        }
-        Stage::Queued | Stage::Started | Stage::NotStarted => dispatch.placement.on_returned(agent),
+    lock(&shared.dispatch).dispatcher.on_ended(agent, task, ending);
+    if report.stage == Stage::Succeeded {
+        shared.metrics.time("entry.tasks.run", report.run_time);
     }
 }
 
--- a/crates/daemon/src/entry/shared.rs
+++ b/crates/daemon/src/entry/shared.rs
@@ -3,13 +3,12 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use compact_str::CompactString;
 use cowslipwing_claims::{Hearsay, Leases, Usable, Votes};
 use cowslipwing_fold::{Fold, MemberSet, Outcome};
 use cowslipwing_log::PlatformLog;
-use cowslipwing_policy::{Asks, Estimates, FairQueue, Need, Placement};
+use cowslipwing_policy::{Dispatcher, Need, Waiting};
 use cowslipwing_proto::{self as proto, RangeGift, peer_client::PeerClient};
 use cowslipwing_settings::{Config, EntryConfig, LeaseConfig, LimitConfig};
 use cowslipwing_types::{
@@ -36,25 +35,17 @@
     pub(crate) need: Need,
 }
 
-/// Tasks that wait, and the agents they may go to.
+impl Waiting for Queued {
+    fn need(&self) -> Need {
+        self.need
+    }
+}
+
+/// Tasks that wait, the agents they may go to, and the customers' open jobs.
 #[derive(Default)]
 pub(crate) struct Dispatch {
-    pub(crate) queue: FairQueue<Queued>,
-    pub(crate) placement: Placement,
-    pub(crate) estimates: Estimates,
-    pub(crate) asks: Asks,
-    /// Tasks that agents have, by agent.
-    pub(crate) sent: SortedMap<Incarnation, SortedMap<TaskId, SentTask>>,
+    pub(crate) dispatcher: Dispatcher<Queued, TaskId>,
     open: SortedMap<CustomerName, u32>,
-    /// When the queue was last empty with credits left over.
-    pub(crate) idle_since: Option<Instant>,
-}
-
-/// A task that an agent has.
-#[derive(Clone, Debug)]
-pub(crate) struct SentTask {
-    pub(crate) kind: CompactString,
-    pub(crate) expected: Duration,
 }
 
 impl Dispatch {
@@ -68,27 +59,6 @@
         let open = self.open.get_or_insert_with(customer.clone(), || 0);
         *open = open.saturating_add_signed(change);
     }
-
-    /// Notes that an agent has a task.
-    pub(crate) fn note_sent(&mut self, agent: &Incarnation, task: TaskId, sent: SentTask) {
-        self.sent.get_or_insert_with(agent.clone(), SortedMap::new).insert(task, sent);
-    }
-
-    /// Notes that an agent has a task no more.
-    pub(crate) fn note_back(&mut self, agent: &Incarnation, task: &TaskId) -> Option<SentTask> {
-        let sent = self.sent.get_mut(agent)?.remove(task)?;
-        self.queue.on_end(&task.job.customer);
-        Some(sent)
-    }
-
-    /// Forgets an agent that is gone, with the tasks it had.
-    pub(crate) fn forget_agent(&mut self, agent: &Incarnation) {
-        for (task, _) in self.sent.remove(agent).unwrap_or_default().iter() {
-            self.queue.on_end(&task.job.customer);
-        }
-        self.placement.remove(agent);
-        self.asks.forget(agent);
-    }
 }
 
 /// What is known of another entry.
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -65,6 +65,15 @@
     ///
     /// Fails where the daemon cannot be started.
     pub async fn entry(&mut self, name: &str) -> Result<(), KitError> {
+        self.entry_with(name, "").await
+    }
+
+    /// Starts an entry with more settings, or starts it anew.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the daemon cannot be started.
+    pub async fn entry_with(&mut self, name: &str, more: &str) -> Result<(), KitError> {
         if !self.nodes.contains_key(name) {
             let ip = self.next_ip();
             let forwarder = Forwarder::start(ip).await?;
@@ -74,7 +83,7 @@
             let (_, log) = self.log.as_ref().expect("the log was started first");
             let settings = format!(
                 "role: entry\nsite: loopback\nentry:\n  name: {name}\n  http: {ip}:0\n  \
-                 rpc: {ip}:0\n  advertise: {}\n  log: {}\n{contact}{FAST_LEASE}",
+                 rpc: {ip}:0\n  advertise: {}\n  log: {}\n{contact}{FAST_LEASE}{more}",
                 forwarder.address(),
                 log.address(),
             );
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -18,6 +18,6 @@
 pub use error::KitError;
 pub use forwarder::Forwarder;
 pub use load::{Load, LoadPlan};
-pub use process::Process;
+pub use process::{Process, program_path};
 pub use scenario::Scenario;
 pub use verdict::{Ledger, Submission, Verdict};
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -96,7 +96,7 @@
 }
 
 /// Returns the path of a program of this workspace, beside the running test.
-pub(crate) fn program_path(program: &str) -> PathBuf {
+pub fn program_path(program: &str) -> PathBuf {
     let test = std::env::current_exe().unwrap_or_default();
     let profile = test.ancestors().find(|dir| dir.file_name().is_some_and(|name| name == "deps"));
     profile.and_then(Path::parent).unwrap_or(Path::new(".")).join(program)
--- /dev/null
+++ b/crates/testkit/tests/testsuite/jobs.rs
@@ -0,0 +1,62 @@
+//! Submission, repeated submission, failure and withdrawal.
+
+use std::time::Duration;
+
+use crate::session::{Session, job};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_is_answered_in_the_order_of_its_tasks() {
+    let mut session = Session::start().await.with_contract("shop").await;
+    let body =
+        r#"{"customer":"shop","tasks":[{"body":"one"},{"body":"sleep 60"},{"body":"three"}]}"#;
+    session.post("/v1/jobs", Some("quote-1"), body).await;
+    session.get("/v1/jobs/shop/quote-1").await;
+    insta::assert_snapshot!(session.transcript());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeated_submission_gets_the_stored_answer() {
+    let mut session = Session::start().await.with_contract("shop").await;
+    let body = job("shop", 2, "hold");
+    session.post("/v1/jobs", Some("hold-1"), &body).await;
+    session.post("/v1/jobs", Some("hold-1"), &body).await;
+    session.post("/v1/jobs", Some("hold-1"), &job("shop", 2, "other")).await;
+    assert_eq!(session.starts(), 2);
+    insta::assert_snapshot!(session.transcript());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failed_task_fails_its_job() {
+    let mut session = Session::start().await.with_contract("shop").await;
+    session.post("/v1/jobs", Some("roster-1"), &job("shop", 1, "fail")).await;
+    insta::assert_snapshot!(session.transcript());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawn_job_tells_what_ran() {
+    let mut session = Session::start().await.with_contract("shop").await;
+    let entry = session.cluster.entries()[0];
+    let caller = cowslipwing_testkit::Caller::new();
+    let submitted = tokio::spawn(async move {
+        caller.submit(entry, "lot-1", &job("shop", 8, "sleep 1500")).await.unwrap()
+    });
+    while session.starts() < 4 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let withdrawn = session.delete("/v1/jobs/shop/lot-1").await.job().unwrap();
+    let answered = submitted.await.unwrap().job().unwrap();
+    assert_eq!(withdrawn, answered);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(session.starts(), 4);
+    insta::assert_snapshot!(session.transcript());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawn_batch_takes_no_more_jobs() {
+    let mut session = Session::start().await.with_contract("shop").await;
+    session.post("/v1/batches/shop/lot-9/withdraw", None, "").await;
+    let body = r#"{"customer":"shop","batch":"lot-9","tasks":[{"body":"hold"}]}"#;
+    session.post("/v1/jobs", Some("late-1"), body).await;
+    assert_eq!(session.starts(), 0);
+    insta::assert_snapshot!(session.transcript());
+}
--- /dev/null
+++ b/crates/testkit/tests/testsuite/limits.rs
@@ -0,0 +1,53 @@
+//! Limits of an entry, each with its own refusal.
+
+use std::time::Duration;
+
+use cowslipwing_testkit::Caller;
+
+use crate::session::{Session, job};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_body_is_refused() {
+    let mut session = Session::with_settings("limits:\n  body: 1KiB\n").await;
+    session = session.with_contract("shop").await;
+    session.post("/v1/jobs", None, &job("shop", 100, "x")).await;
+    insta::assert_snapshot!(session.transcript());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_customer_past_its_open_jobs_is_told_when_to_come_back() {
+    let mut session = Session::start().await.with_contract("shop").await;
+    let entry = session.cluster.entries()[0];
+    let open = |number: u32| {
+        tokio::spawn(async move {
+            let key = format!("open-{number}");
+            Caller::new().submit(entry, &key, &job("shop", 1, "sleep 1500")).await
+        })
+    };
+    let running: Vec<_> = (0..4).map(open).collect();
+    while session.starts() < 4 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    session.post("/v1/jobs", Some("one-too-many"), &job("shop", 1, "x")).await;
+    for job in running {
+        assert_eq!(job.await.unwrap().unwrap().status, 200);
+    }
+    assert_eq!(session.starts(), 4);
+    insta::assert_snapshot!(session.transcript());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_past_the_connections_are_told_when_to_come_back() {
+    let mut session = Session::with_settings("limits:\n  connections: 1\n").await;
+    session = session.with_contract("shop").await;
+    let entry = session.cluster.entries()[0];
+    let running = tokio::spawn(async move {
+        Caller::new().submit(entry, "first", &job("shop", 1, "sleep 1500")).await
+    });
+    while session.starts() < 1 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    session.post("/v1/jobs", Some("second"), &job("shop", 1, "x")).await;
+    assert_eq!(running.await.unwrap().unwrap().status, 200);
+    insta::assert_snapshot!(session.transcript());
+}
