Put endpoints that fail what others can run on a spaced probation

Cause: an endpoint that failed at once was on probation, but got the next task as soon as the last had failed, every few milliseconds, from each of ten entries. Ruled out: too late a verdict (five failures in a row came within the first 20 ms). Change: a failure counts only where the same kind has succeeded elsewhere, and the trial tasks of an endpoint on probation are 500 ms apart, doubling to 30 s.

--- a/crates/daemon/src/entry/dispatch.rs
+++ b/crates/daemon/src/entry/dispatch.rs
@@ -61,7 +61,7 @@
     };
     let may_use =
         |queued: &Queued, agent: &Incarnation| usable.may_use(members, queued.range, agent);
-    let (_, queued, agent) = dispatch.dispatcher.next(may_start, may_use)?;
+    let (_, queued, agent) = dispatch.dispatcher.next(now, may_start, may_use)?;
     Some((queued, agent))
 }
 
--- a/crates/daemon/src/entry/reports.rs
+++ b/crates/daemon/src/entry/reports.rs
@@ -58,7 +58,7 @@
         Stage::Errored | Stage::Unknown => Ending::Failed,
         Stage::Queued | Stage::Started | Stage::NotStarted => Ending::NotStarted,
     };
-    lock(&shared.dispatch).dispatcher.on_ended(agent, task, ending);
+    lock(&shared.dispatch).dispatcher.on_ended(shared.now(), agent, task, ending);
     if report.stage == Stage::Succeeded {
         shared.metrics.time("entry.tasks.run", report.run_time);
     }
--- a/crates/load/src/credits.rs
+++ b/crates/load/src/credits.rs
@@ -206,7 +206,8 @@
         let at = self.base + now;
         let link = self.world.link;
         let entry = &mut self.entries[number];
-        while let Some((customer, queued, agent)) = entry.dispatcher.next(|_| true, |_, _| true) {
+        while let Some((customer, queued, agent)) = entry.dispatcher.next(at, |_| true, |_, _| true)
+        {
             let job = queued.job;
             let unsent = entry.unsent.iter_mut().find(|(open, _)| *open == job);
             let Some(task) = unsent.and_then(|(_, tasks)| tasks.pop()) else {
@@ -293,7 +294,7 @@
     ) {
         let entry = &mut self.entries[number];
         let ending = if ok { Ending::Succeeded(ran) } else { Ending::Failed };
-        entry.dispatcher.on_ended(&self.worker_ids[worker], &(job, task), ending);
+        entry.dispatcher.on_ended(self.base + now, &self.worker_ids[worker], &(job, task), ending);
         if self.progress.end(job, ok) {
             self.outcome.responses[job] = Some(now - self.jobs[job].at);
         }
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -6,9 +6,10 @@
 use cowslipwing_types::{CustomerName, Incarnation, SortedMap};
 
 use crate::asks::Asks;
+use crate::blame::Blame;
 use crate::estimate::Estimates;
 use crate::fair_queue::FairQueue;
-use crate::placement::{Need, Placement};
+use crate::placement::{Need, Placement, Service};
 
 /// Time for which unused credits are kept.
 const CREDIT_HOLD: Duration = Duration::from_millis(50);
@@ -65,7 +66,7 @@
 /// dispatcher.queue.push(&gym, Job(1), 1, Duration::from_millis(50));
 /// assert_eq!(dispatcher.asks(now, 0), vec![(agent.clone(), 1)]);
 /// dispatcher.on_credits(&agent, 1);
-/// let sent = dispatcher.next(|_| true, |_, _| true);
+/// let sent = dispatcher.next(now, |_| true, |_, _| true);
 /// assert_eq!(sent, Some((gym, Job(1), agent)));
 /// ```
 pub struct Dispatcher<J, T> {
@@ -75,6 +76,7 @@
     pub placement: Placement,
     /// Learned run times.
     pub estimates: Estimates,
+    blame: Blame,
     asks: Asks,
     sent: SortedMap<Incarnation, SortedMap<T, Sent>>,
     idle_since: Option<Instant>,
@@ -86,6 +88,7 @@
             queue: FairQueue::default(),
             placement: Placement::default(),
             estimates: Estimates::default(),
+            blame: Blame::default(),
             asks: Asks::default(),
             sent: SortedMap::new(),
             idle_since: None,
@@ -101,16 +104,22 @@
     /// Chooses the next task and its agent, and uses one of the agent's credits.
     ///
     /// Only jobs that `may_start` are considered, and only agents that `may_use` allows for them.
-    pub fn next<S, U>(&mut self, may_start: S, may_use: U) -> Option<(CustomerName, J, Incarnation)>
+    pub fn next<S, U>(
+        &mut self,
+        now: Instant,
+        may_start: S,
+        may_use: U,
+    ) -> Option<(CustomerName, J, Incarnation)>
     where
         S: Fn(&J) -> bool,
         U: Fn(&J, &Incarnation) -> bool,
     {
         let placement = &self.placement;
-        let fits =
-            |job: &J| may_start(job) && placement.can_take(job.need(), |agent| may_use(job, agent));
+        let fits = |job: &J| {
+            may_start(job) && placement.can_take(now, job.need(), |agent| may_use(job, agent))
+        };
         let (customer, job) = self.queue.pop(fits)?;
-        match self.placement.choose(job.need(), |agent| may_use(&job, agent)) {
+        match self.placement.choose(now, job.need(), |agent| may_use(&job, agent)) {
             Some(agent) => Some((customer, job, agent)),
             None => {
                 self.queue.on_end(&customer);
@@ -146,7 +155,7 @@
     }
 
     /// Takes in that an agent has a task no more, and learns from it.
-    pub fn on_ended(&mut self, agent: &Incarnation, task: &T, ending: Ending) {
+    pub fn on_ended(&mut self, now: Instant, agent: &Incarnation, task: &T, ending: Ending) {
         let Some(sent) = self.sent.get_mut(agent).and_then(|tasks| tasks.remove(task)) else {
             return;
         };
@@ -154,9 +163,15 @@
         match ending {
             Ending::Succeeded(run_time) => {
                 self.estimates.observe(&sent.customer, &sent.kind, run_time);
-                self.placement.on_end(agent, sent.expected, run_time, true);
+                self.blame.on_success(&sent.customer, &sent.kind, agent);
+                let service = Service::Succeeded { expected: sent.expected, run_time };
+                self.placement.on_end(now, agent, service);
+            }
+            Ending::Failed => {
+                let blamed = self.blame.speaks_against(&sent.customer, &sent.kind, agent);
+                let service = if blamed { Service::Failed } else { Service::FailedAsElsewhere };
+                self.placement.on_end(now, agent, service);
             }
-            Ending::Failed => self.placement.on_end(agent, sent.expected, Duration::ZERO, false),
             Ending::NotStarted => self.placement.on_returned(agent),
         }
     }
@@ -184,7 +199,7 @@
         if want == 0 {
             return Vec::new();
         }
-        self.asks.plan(now, want, &self.placement.askable(), start)
+        self.asks.plan(now, want, &self.placement.askable(now), start)
     }
 
     /// Returns the credits to give back once nothing has waited for a while.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod allotment;
 mod asks;
+mod blame;
 mod credit;
 mod dispatcher;
 mod estimate;
@@ -15,8 +16,9 @@
 pub use admission::{Admission, Limits, Refusal};
 pub use allotment::allotment;
 pub use asks::{Askable, Asks};
+pub use blame::Blame;
 pub use credit::CreditIssuer;
 pub use dispatcher::{Dispatcher, Ending, Waiting};
 pub use estimate::Estimates;
 pub use fair_queue::FairQueue;
-pub use placement::{Capacity, Need, Placement};
+pub use placement::{Capacity, Need, Placement, Service};
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -1,6 +1,6 @@
 //! Which agent a task goes to.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::asks::Askable;
 use cowslipwing_types::{Incarnation, SortedMap};
@@ -9,8 +9,10 @@
 const LEARNING_RATE: f64 = 0.1;
 /// Failures in a row after which an endpoint is on probation.
 const PROBATION_FAILURES: u32 = 5;
-/// Tasks that an endpoint on probation may hold at once.
-const PROBATION_TASKS: u32 = 1;
+/// Time until an endpoint on probation gets its first trial task; it doubles with each failure.
+const FIRST_TRIAL: Duration = Duration::from_millis(500);
+/// Longest time between two trial tasks.
+const MAX_TRIAL: Duration = Duration::from_secs(30);
 
 /// What a task needs of its endpoint.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -47,31 +49,62 @@
     /// Actual run time divided by the estimate.
     slowness: f64,
     failures: u32,
+    /// When an endpoint on probation may have its next task.
+    trial_at: Option<Instant>,
     leaving: bool,
     connected: bool,
 }
 
 impl Agent {
-    fn may_take(&self, need: Need) -> bool {
-        let on_probation = self.failures >= PROBATION_FAILURES;
-        let probation_full = on_probation && self.running >= PROBATION_TASKS;
-        self.credits > 0 && !self.leaving && !probation_full && self.capacity.fits(need)
+    fn may_take(&self, now: Instant, need: Need) -> bool {
+        self.credits > 0 && !self.leaving && self.capacity.fits(need) && self.is_trusted(now)
+    }
+
+    /// Tells whether the endpoint is not on probation, or due for a trial task.
+    fn is_trusted(&self, now: Instant) -> bool {
+        self.trial_at.is_none_or(|at| now >= at && self.running == 0)
+    }
+
+    fn on_failure(&mut self, now: Instant) {
+        self.failures = self.failures.saturating_add(1);
+        if let Some(past) = self.failures.checked_sub(PROBATION_FAILURES) {
+            let pause = FIRST_TRIAL.saturating_mul(1 << past.min(16)).min(MAX_TRIAL);
+            self.trial_at = Some(now + pause);
+        }
     }
 }
 
+/// How a task has ended at an agent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Service {
+    /// It succeeded.
+    Succeeded {
+        /// Time it was expected to take.
+        expected: Duration,
+        /// Time it took.
+        run_time: Duration,
+    },
+    /// It failed, and tasks of its kind succeed elsewhere.
+    Failed,
+    /// It failed, and tasks of its kind may fail anywhere.
+    FailedAsElsewhere,
+}
+
 /// The agents that an owner can send to, with their credits.
 ///
 /// # Examples
 ///
 /// ```
+/// use std::time::Instant;
 /// use cowslipwing_policy::{Capacity, Need, Placement};
 ///
 /// let agent = "agent-1".parse().unwrap();
 /// let mut placement = Placement::default();
 /// placement.set_agent(&agent, Capacity { cores: 4, memory_mb: 1024, slots: 4 }, false);
 /// placement.on_credits(&agent, 1);
-/// assert_eq!(placement.choose(Need::default(), |_| true), Some(agent));
-/// assert_eq!(placement.choose(Need::default(), |_| true), None);
+/// let now = Instant::now();
+/// assert_eq!(placement.choose(now, Need::default(), |_| true), Some(agent));
+/// assert_eq!(placement.choose(now, Need::default(), |_| true), None);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Placement {
@@ -87,6 +120,7 @@
             running: 0,
             slowness: 1.0,
             failures: 0,
+            trial_at: None,
             leaving,
             connected: false,
         });
@@ -131,8 +165,9 @@
     }
 
     /// Returns the agents worth asking for credits.
-    pub fn askable(&self) -> Vec<Askable> {
-        let present = self.agents.iter().filter(|(_, agent)| agent.connected && !agent.leaving);
+    pub fn askable(&self, now: Instant) -> Vec<Askable> {
+        let askable = |agent: &Agent| agent.connected && !agent.leaving && agent.is_trusted(now);
+        let present = self.agents.iter().filter(|(_, agent)| askable(agent));
         present.map(|(id, agent)| Askable { id: id.clone(), slots: agent.capacity.slots }).collect()
     }
 
@@ -148,15 +183,15 @@
     }
 
     /// Tells whether an agent can take some task now.
-    pub fn can_take<F>(&self, need: Need, usable: F) -> bool
+    pub fn can_take<F>(&self, now: Instant, need: Need, usable: F) -> bool
     where
         F: Fn(&Incarnation) -> bool,
     {
-        self.agents.iter().any(|(id, agent)| agent.may_take(need) && usable(id))
+        self.agents.iter().any(|(id, agent)| agent.may_take(now, need) && usable(id))
     }
 
     /// Chooses the agent that is expected to answer first, and uses one of its credits.
-    pub fn choose<F>(&mut self, need: Need, usable: F) -> Option<Incarnation>
+    pub fn choose<F>(&mut self, now: Instant, need: Need, usable: F) -> Option<Incarnation>
     where
         F: Fn(&Incarnation) -> bool,
     {
@@ -168,7 +203,7 @@
         let (id, agent) = self
             .agents
             .iter_mut()
-            .filter(|(id, agent)| agent.may_take(need) && usable(id))
+            .filter(|(id, agent)| agent.may_take(now, need) && usable(id))
             .min_by(|a, b| wait(a.1).partial_cmp(&wait(b.1)).expect("waits are finite"))?;
         agent.credits -= 1;
         agent.running += 1;
@@ -198,19 +233,22 @@
     }
 
     /// Learns from a task that ended at an agent.
-    pub fn on_end(&mut self, id: &Incarnation, expected: Duration, run_time: Duration, ok: bool) {
+    pub fn on_end(&mut self, now: Instant, id: &Incarnation, service: Service) {
         let Some(agent) = self.agents.get_mut(id) else {
             return;
         };
         agent.running = agent.running.saturating_sub(1);
-        if !ok {
-            agent.failures = agent.failures.saturating_add(1);
-            return;
-        }
-        agent.failures = 0;
-        if !expected.is_zero() {
-            let slowness = run_time.as_secs_f64() / expected.as_secs_f64();
-            agent.slowness += LEARNING_RATE * (slowness - agent.slowness);
+        match service {
+            Service::FailedAsElsewhere => {}
+            Service::Failed => agent.on_failure(now),
+            Service::Succeeded { expected, run_time } => {
+                agent.failures = 0;
+                agent.trial_at = None;
+                if !expected.is_zero() {
+                    let slowness = run_time.as_secs_f64() / expected.as_secs_f64();
+                    agent.slowness += LEARNING_RATE * (slowness - agent.slowness);
+                }
+            }
         }
     }
 }
