Ask faster agents for credits first

Ruled out: the choice among credits held (it already prefers the faster agent; with one credit at hand there is nothing to choose). Change: agents are asked in the order of their learned speed, in half-octave ranks, at random within one.

--- a/crates/policy/src/asks.rs
+++ b/crates/policy/src/asks.rs
@@ -16,6 +16,8 @@
     pub id: Incarnation,
     /// Tasks it runs at once.
     pub slots: u32,
+    /// Agents of a lower rank are faster and are asked first.
+    pub rank: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -33,7 +35,7 @@
 /// use cowslipwing_policy::{Askable, Asks};
 ///
 /// let now = Instant::now();
-/// let agents = [Askable { id: "agent-1".parse().unwrap(), slots: 4 }];
+/// let agents = [Askable { id: "agent-1".parse().unwrap(), slots: 4, rank: 0 }];
 /// let mut asks = Asks::default();
 /// assert_eq!(asks.plan(now, 3, &agents, 0), vec![(agents[0].id.clone(), 3)]);
 /// assert!(asks.plan(now, 3, &agents, 0).is_empty());
@@ -46,7 +48,8 @@
 impl Asks {
     /// Returns whom to ask for how many credits, so that `want` tasks can be sent.
     ///
-    /// The walk over the agents begins at `start`, a random number.
+    /// Faster agents come first; among those of the same rank the walk begins at `start`, a random
+    /// number.
     pub fn plan(
         &mut self,
         now: Instant,
@@ -59,7 +62,11 @@
         let asked: u32 = self.pending.values().filter(counts).map(|ask| ask.credits).sum();
         let mut missing = want.saturating_sub(asked);
         let mut plan = Vec::new();
-        for agent in (0..agents.len()).map(|step| &agents[(start + step) % agents.len()]) {
+        let walk =
+            (0..agents.len()).map(|step| &agents[(start % agents.len() + step) % agents.len()]);
+        let mut walk: Vec<&Askable> = walk.collect();
+        walk.sort_by_key(|agent| agent.rank);
+        for agent in walk {
             if missing == 0 {
                 break;
             }
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -7,6 +7,10 @@
 
 /// Weight of a new observation of an endpoint's speed.
 const LEARNING_RATE: f64 = 0.1;
+/// Slowness of the fastest endpoints told apart.
+const MIN_SLOWNESS: f64 = 1.0 / 64.0;
+/// Ranks of speed between an endpoint and one that is twice as slow.
+const RANKS_PER_DOUBLING: f64 = 2.0;
 /// Failures in a row after which an endpoint is on probation.
 const PROBATION_FAILURES: u32 = 5;
 /// Time until an endpoint on probation gets its first trial task; it doubles with each failure.
@@ -65,6 +69,12 @@
         self.trial_at.is_none_or(|at| now >= at && self.running == 0)
     }
 
+    /// Returns a number that is the same for agents of about the same speed, lower for faster ones.
+    fn speed_rank(&self) -> u32 {
+        (self.slowness.max(MIN_SLOWNESS) / MIN_SLOWNESS).log2().mul_add(RANKS_PER_DOUBLING, 0.5)
+            as u32
+    }
+
     fn on_failure(&mut self, now: Instant) {
         self.failures = self.failures.saturating_add(1);
         if let Some(past) = self.failures.checked_sub(PROBATION_FAILURES) {
@@ -168,7 +178,12 @@
     pub fn askable(&self, now: Instant) -> Vec<Askable> {
         let askable = |agent: &Agent| agent.connected && !agent.leaving && agent.is_trusted(now);
         let present = self.agents.iter().filter(|(_, agent)| askable(agent));
-        present.map(|(id, agent)| Askable { id: id.clone(), slots: agent.capacity.slots }).collect()
+        let ask = |(id, agent): (&Incarnation, &Agent)| Askable {
+            id: id.clone(),
+            slots: agent.capacity.slots,
+            rank: agent.speed_rank(),
+        };
+        present.map(ask).collect()
     }
 
     /// Returns the credits held from all agents.
