Estimate the work ahead of a customer by its own share

Ruled out: the order of dispatch; the fair queue served its tasks in time once they were in. Change: the work ahead is the lesser of all that waits, and the customer's own at its share of the slots.

--- a/crates/daemon/src/entry/jobs.rs
+++ b/crates/daemon/src/entry/jobs.rs
@@ -145,10 +145,11 @@
         longest = longest.max(expected);
     }
     let count = tasks.len() as u32;
+    let entries = shared.members().len() as u32;
     let admission = Admission {
         open_jobs: shared.open_jobs.load(Ordering::Relaxed),
         customer_open_jobs: dispatch.open_of(&checked.job.customer),
-        ahead: dispatch.dispatcher.ahead(work, shared.members().len() as u32),
+        ahead: dispatch.dispatcher.ahead(&checked.job.customer, work, entries),
         longest,
         time_left,
     };
--- a/crates/load/src/credits.rs
+++ b/crates/load/src/credits.rs
@@ -169,8 +169,11 @@
         let entry = &mut self.entries[job.entry];
         let customer = &self.customers[job.customer];
         let cost = entry.dispatcher.estimates.get(customer, "task", Some(job.declared));
-        let ahead =
-            entry.dispatcher.ahead(cost * job.tasks.len() as u32, self.world.entries as u32);
+        let ahead = entry.dispatcher.ahead(
+            customer,
+            cost * job.tasks.len() as u32,
+            self.world.entries as u32,
+        );
         let admission = Admission {
             open_jobs: 0,
             customer_open_jobs: 0,
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -191,13 +191,19 @@
         self.asks.forget(agent);
     }
 
-    /// Returns the time until new work would be done, where as many owners as there are `entries`
-    /// share the agents evenly; 0 while no agent can be reached.
-    pub fn ahead(&self, work: Duration, entries: u32) -> Duration {
-        match self.placement.slots() {
-            0 => Duration::ZERO,
-            slots => (self.queue.work() + work) * entries.max(1) / slots,
+    /// Returns the time until new work of a customer would be done, where as many owners as there are
+    /// `entries` share the agents evenly; 0 while no agent can be reached.
+    ///
+    /// What other customers have waiting delays it no further than their shares allow.
+    pub fn ahead(&self, customer: &CustomerName, work: Duration, entries: u32) -> Duration {
+        let slots = self.placement.slots();
+        if slots == 0 {
+            return Duration::ZERO;
         }
+        let of_all = self.queue.work() + work;
+        let of_own = self.queue.work_of(customer) + work;
+        let by_share = of_own.div_f64(self.queue.part_of(customer));
+        of_all.min(by_share) * entries.max(1) / slots
     }
 
     /// Returns whom to ask for how many credits.
--- a/crates/policy/src/fair_queue.rs
+++ b/crates/policy/src/fair_queue.rs
@@ -148,6 +148,21 @@
         Duration::from_secs_f64(self.waiting_cost.max(0.0))
     }
 
+    /// Returns the estimated work of a customer that waits.
+    pub fn work_of(&self, customer: &CustomerName) -> Duration {
+        let work = self.lanes.get(customer).map_or(0.0, Lane::work);
+        Duration::from_secs_f64(work.max(0.0))
+    }
+
+    /// Returns the part of capacity that a customer has while the others that wait have theirs.
+    pub fn part_of(&self, customer: &CustomerName) -> f64 {
+        let own = self.lanes.get(customer).map_or(1, |lane| lane.share);
+        let competes =
+            |(name, lane): &(&CustomerName, &Lane<J>)| *name != customer && !lane.jobs.is_empty();
+        let others: u32 = self.lanes.iter().filter(competes).map(|(_, lane)| lane.share).sum();
+        f64::from(own) / f64::from(own + others)
+    }
+
     /// Returns the tasks that wait and could run now within the customers' limits.
     pub fn demand(&self) -> u32 {
         self.lanes.values().map(Lane::demand).sum()
@@ -160,6 +175,10 @@
 }
 
 impl<J> Lane<J> {
+    fn work(&self) -> f64 {
+        self.jobs.iter().map(|waiting| waiting.cost * f64::from(waiting.tasks)).sum()
+    }
+
     fn demand(&self) -> u32 {
         let waiting: u32 = self.jobs.iter().map(|waiting| waiting.tasks).sum();
         waiting.min(self.limit.saturating_sub(self.running))
