--- /dev/null
+++ b/crates/load/src/bin/cowslipwing-cost.rs
@@ -0,0 +1,223 @@
+//! Measures what decisions cost in time and memory, and control in bytes, at several sizes.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use cowslipwing_claims::{AgeRules, Ledger, LedgerLimits, Report, Stage, StartOrder};
+use cowslipwing_fold::Fold;
+use cowslipwing_policy::{Capacity, Dispatcher, Ending, Need, Waiting};
+use cowslipwing_proto::{
+    Announcement, Contract, ContractChange, LeaseCheck, LeaseReply, Message, RangeEpoch, Record,
+    record::Body,
+};
+use cowslipwing_types::{
+    CustomerName, Epoch, Incarnation, JobId, JobKey, Offset, TaskId, TaskIndex,
+};
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Job(u32);
+
+impl Waiting for Job {
+    fn need(&self) -> Need {
+        Need::default()
+    }
+}
+
+fn main() {
+    println!("{:<34} {:>8} {:>12}", "decision", "size", "micros each");
+    for endpoints in [10, 100, 900] {
+        print_row("send and end a task, by endpoints", endpoints, cost_of_dispatch(endpoints, 10));
+    }
+    for contracts in [10, 90, 900] {
+        print_row("send and end a task, by contracts", contracts, cost_of_dispatch(100, contracts));
+    }
+    for contracts in [10, 90, 900] {
+        print_row("fold a contract change", contracts, cost_of_fold(contracts));
+    }
+    for tasks in [10_000, 100_000] {
+        print_row("start and end a task at an agent", tasks, cost_of_ledger(tasks));
+    }
+    println!("\n{:<34} {:>12}", "memory", "bytes each");
+    println!("{:<34} {:>12}", "task remembered by an agent", memory_of_ledger());
+    println!("{:<34} {:>12}", "contract in a fold", memory_of_contracts());
+    print_control();
+}
+
+fn print_row(what: &str, size: usize, micros: f64) {
+    println!("{what:<34} {size:>8} {micros:>12.2}");
+}
+
+fn customers(count: usize) -> Vec<CustomerName> {
+    (0..count).map(|n| format!("customer-{n}").parse().expect("a name")).collect()
+}
+
+fn agents(count: usize) -> Vec<Incarnation> {
+    (0..count).map(|n| format!("endpoint-{n:04}@0a1b2c3d").parse().expect("a name")).collect()
+}
+
+/// Returns the micros that it takes to choose an agent for a task, send it and take its end in.
+fn cost_of_dispatch(endpoints: usize, contracts: usize) -> f64 {
+    const TASKS: u32 = 20_000;
+    const SLOTS: u32 = 8;
+    let (now, agents, customers) = (Instant::now(), agents(endpoints), customers(contracts));
+    let mut dispatcher: Dispatcher<Job, u32> = Dispatcher::default();
+    for agent in &agents {
+        let capacity = Capacity { cores: 8, memory_mb: 1024, slots: SLOTS };
+        dispatcher.placement.set_agent(agent, capacity, false);
+        dispatcher.placement.set_connected(agent, true);
+        dispatcher.on_credits(agent, SLOTS);
+    }
+    for (number, customer) in (0..).zip(&customers) {
+        dispatcher.queue.set_terms(customer, 1, TASKS);
+        dispatcher.queue.push(customer, Job(number), TASKS, Duration::from_millis(100));
+    }
+    let began = Instant::now();
+    for task in 0..TASKS {
+        let (customer, _, agent) =
+            dispatcher.next(now, |_| true, |_, _| true).expect("tasks and credits are there");
+        dispatcher.on_sent(&agent, &customer, task, "kind", None);
+        let ending = Ending::Succeeded(Duration::from_millis(100));
+        dispatcher.on_ended(now, &agent, &task, ending);
+        dispatcher.on_credits(&agent, 1);
+    }
+    micros_each(began, TASKS)
+}
+
+fn micros_each(began: Instant, times: u32) -> f64 {
+    const MICROS_PER_SECOND: f64 = 1e6;
+    began.elapsed().as_secs_f64() * MICROS_PER_SECOND / f64::from(times)
+}
+
+fn change(customer: &CustomerName, base_version: u64) -> Record {
+    let contract = Contract {
+        share: 1,
+        concurrency: 100,
+        deadline: "5s".to_owned(),
+        refusals: "5%".to_owned(),
+        open_jobs: 100,
+    };
+    let customer = customer.to_string();
+    let change = ContractChange { customer, base_version, contract: Some(contract) };
+    Record { append_id: "0123456789abcdef".to_owned(), body: Some(Body::Contract(change)) }
+}
+
+fn fold_of(contracts: usize) -> (Fold, Vec<CustomerName>) {
+    let (mut fold, customers) = (Fold::default(), customers(contracts));
+    for customer in &customers {
+        fold.apply(fold.next_offset(), &change(customer, 0));
+    }
+    (fold, customers)
+}
+
+fn cost_of_fold(contracts: usize) -> f64 {
+    const RECORDS: u32 = 20_000;
+    let (mut fold, customers) = fold_of(contracts);
+    let records: Vec<Record> = (0..RECORDS as usize)
+        .map(|n| change(&customers[n % contracts], 1 + (n / contracts) as u64))
+        .collect();
+    let began = Instant::now();
+    for record in &records {
+        let offset: Offset = fold.next_offset();
+        black_box(fold.apply(offset, record));
+    }
+    micros_each(began, RECORDS)
+}
+
+fn new_ledger() -> Ledger {
+    const TASKS: usize = 1_000_000;
+    let ages = AgeRules {
+        skew: Duration::from_millis(500),
+        retention: Duration::from_secs(600),
+        ageless_retention: Duration::from_secs(3600),
+    };
+    Ledger::new("endpoint-1@0a1b2c3d".parse().expect("a name"), LedgerLimits { tasks: TASKS, ages })
+}
+
+fn run_tasks(ledger: &mut Ledger, tasks: usize) {
+    let (now, wall) = (Instant::now(), std::time::SystemTime::now());
+    let customer: CustomerName = "customer-1".parse().expect("a name");
+    for number in 0..tasks {
+        let job = JobId { customer: customer.clone(), key: JobKey::generate(wall) };
+        let order = StartOrder {
+            task: TaskId { job, index: TaskIndex::new(number as u32 % 10) },
+            epoch: Epoch::new(1),
+            incarnation: ledger.incarnation().clone(),
+            fingerprint: 7,
+        };
+        black_box(ledger.start(now, &order));
+        ledger.begin(&order.task);
+        ledger.finish(now, &order.task, Report::new(Stage::Succeeded));
+    }
+}
+
+fn cost_of_ledger(tasks: usize) -> f64 {
+    let mut ledger = new_ledger();
+    let began = Instant::now();
+    run_tasks(&mut ledger, tasks);
+    micros_each(began, tasks as u32)
+}
+
+/// Returns the bytes of memory that the process holds.
+fn resident_bytes() -> u64 {
+    const PAGE_BYTES: u64 = 4096;
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
+
+fn memory_of_ledger() -> u64 {
+    const TASKS: usize = 300_000;
+    let before = resident_bytes();
+    let mut ledger = new_ledger();
+    run_tasks(&mut ledger, TASKS);
+    let after = resident_bytes();
+    black_box(ledger.len());
+    after.saturating_sub(before) / TASKS as u64
+}
+
+fn memory_of_contracts() -> u64 {
+    const CONTRACTS: usize = 100_000;
+    let customers = customers(CONTRACTS);
+    let before = resident_bytes();
+    let mut fold = Fold::default();
+    for customer in &customers {
+        fold.apply(fold.next_offset(), &change(customer, 0));
+    }
+    let after = resident_bytes();
+    black_box(fold.next_offset());
+    after.saturating_sub(before) / CONTRACTS as u64
+}
+
+/// Prints the sizes of what goes on while nothing happens.
+fn print_control() {
+    let announcement = Announcement {
+        endpoint: "endpoint-0001".to_owned(),
+        incarnation: "endpoint-0001@0a1b2c3d".to_owned(),
+        site: "bkk-a".to_owned(),
+        address: "10.120.130.140:7101".to_owned(),
+        slots: 30,
+        cores: 30,
+        memory_mb: 65_536,
+        leaving: false,
+        history_from_ms: 1_790_000_000_000,
+    };
+    println!("\n{:<34} {:>8} {:>12}", "control message", "size", "bytes");
+    println!("{:<34} {:>8} {:>12}", "announcement", "", announcement.encoded_len());
+    for ranges in [5, 64] {
+        let claims = (0..ranges).map(|range| RangeEpoch { range, epoch: 300 }).collect();
+        let check = LeaseCheck {
+            entry: "order-desk-01@0a1b2c3d".to_owned(),
+            member_version: 300,
+            ranges: claims,
+            heard_after: 10_000,
+        };
+        let reply = LeaseReply {
+            member_version: 300,
+            confirmed: (0..ranges).collect(),
+            within_version: 300,
+            ..LeaseReply::default()
+        };
+        println!("{:<34} {ranges:>8} {:>12}", "lease check, by ranges", check.encoded_len());
+        println!("{:<34} {ranges:>8} {:>12}", "lease reply, by ranges", reply.encoded_len());
+    }
+}
