--- a/crates/claims/src/hearsay.rs
+++ b/crates/claims/src/hearsay.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use cowslipwing_fold::MemberSet;
-use cowslipwing_types::{EntryId, Incarnation, RangeId, SortedMap};
+use cowslipwing_types::{EntryId, Incarnation, RangeId, SortedMap, insert_sorted};
 
 /// An agent's incarnation and what it announced.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -107,10 +107,10 @@
         I: IntoIterator<Item = (u64, Incarnation)>,
     {
         for range in asked.iter().filter(|range| !confirmed.contains(range)) {
-            insert_sorted(self.refused_by.get_or_insert_with(*range, Vec::new), from);
+            insert_sorted(self.refused_by.get_or_insert_with(*range, Vec::new), from.clone());
         }
         for (position, incarnation) in heard {
-            insert_sorted(self.heard_by.get_or_insert_with(incarnation, Vec::new), from);
+            insert_sorted(self.heard_by.get_or_insert_with(incarnation, Vec::new), from.clone());
             let last = self.positions.get_or_insert_with(from.clone(), || 0);
             *last = position.max(*last);
         }
@@ -141,9 +141,3 @@
         members.has_majority(counts)
     }
 }
-
-fn insert_sorted(list: &mut Vec<EntryId>, id: &EntryId) {
-    if let Err(at) = list.binary_search(id) {
-        list.insert(at, id.clone());
-    }
-}
--- a/crates/claims/src/lease.rs
+++ b/crates/claims/src/lease.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use cowslipwing_fold::MemberSet;
-use cowslipwing_types::{EntryId, Epoch, RangeId, SortedMap};
+use cowslipwing_types::{EntryId, Epoch, RangeId, SortedMap, insert_sorted};
 
 /// The leases an owner holds, by range.
 ///
@@ -77,9 +77,7 @@
     pub fn on_confirmed(&mut self, from: &EntryId, ranges: &[RangeId]) {
         for range in ranges {
             let voters = self.confirmed_by.get_or_insert_with(*range, Vec::new);
-            if let Err(at) = voters.binary_search(from) {
-                voters.insert(at, from.clone());
-            }
+            insert_sorted(voters, from.clone());
         }
     }
 
--- a/crates/claims/src/takeover.rs
+++ b/crates/claims/src/takeover.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use cowslipwing_fold::MemberSet;
-use cowslipwing_types::{EntryId, Epoch, Incarnation, RangeId, SortedMap, TaskId};
+use cowslipwing_types::{EntryId, Epoch, Incarnation, RangeId, SortedMap, TaskId, insert_sorted};
 
 use crate::ledger::{Report, Stage};
 
@@ -198,12 +198,3 @@
         found.insert(task, new);
     }
 }
-
-fn insert_sorted<T>(list: &mut Vec<T>, item: T)
-where
-    T: Ord,
-{
-    if let Err(at) = list.binary_search(&item) {
-        list.insert(at, item);
-    }
-}
--- a/crates/claims/tests/testsuite/members.rs
+++ b/crates/claims/tests/testsuite/members.rs
@@ -104,8 +104,8 @@
             return;
         }
         let members = self.members(self.log.len());
-        for entry in 0..NAMES.len() {
-            let is_member = members.contains(&NAMES[entry].parse().unwrap());
+        for (entry, name) in NAMES.iter().enumerate() {
+            let is_member = members.contains(&name.parse().unwrap());
             if is_member && (members.len() == 1 || entry == HEIR) {
                 continue;
             }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -16,4 +16,4 @@
 pub use key::{JobId, JobKey, KeyError, TaskId};
 pub use number::{Epoch, MemberVersion, NumberError, Offset, RANGES, RangeId, TaskIndex, Version};
 pub use quantity::{ByteSize, Percent, QuantityError, parse_duration};
-pub use sorted::SortedMap;
+pub use sorted::{SortedMap, insert_sorted};
--- a/crates/types/src/sorted.rs
+++ b/crates/types/src/sorted.rs
@@ -142,3 +142,28 @@
         map
     }
 }
+
+/// Inserts an item into a sorted list that does not have it yet; true where it was new.
+///
+/// # Examples
+///
+/// ```
+/// use cowslipwing_types::insert_sorted;
+///
+/// let mut list = vec![1, 3];
+/// assert!(insert_sorted(&mut list, 2));
+/// assert!(!insert_sorted(&mut list, 2));
+/// assert_eq!(list, [1, 2, 3]);
+/// ```
+pub fn insert_sorted<T>(list: &mut Vec<T>, item: T) -> bool
+where
+    T: Ord,
+{
+    match list.binary_search(&item) {
+        Ok(_) => false,
+        Err(at) => {
+            list.insert(at, item);
+            true
+        }
+    }
+}
