Keep a key with its submission over a takeover

Cause: a new owner adopted what agents held of a key without comparing the submission, so that another submission under the same key got the first one's answer. Found by reading; the test a_key_stays_with_its_submission_after_a_takeover failed first with an answer in place of a refusal. Change: the fingerprints that agents keep are compared. A refusal that does not say 'nothing was started' is passed on even after an owner gave no answer.

--- a/crates/daemon/src/agent/announce.rs
+++ b/crates/daemon/src/agent/announce.rs
@@ -24,7 +24,7 @@
         announce_once(&shared).await;
         let knows_entries = !members(&shared).is_empty();
         let pause = if knows_entries { ANNOUNCE_INTERVAL } else { FIRST_INTERVAL };
-        let _ = timeout(pause, shared.announce.notified()).await;
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/crates/daemon/src/agent/state.rs
+++ b/crates/daemon/src/agent/state.rs
@@ -69,8 +69,6 @@
     desk: Mutex<Desk>,
     /// Wakes the runner.
     pub(crate) work: Notify,
-    /// Makes the agent announce itself at once.
-    pub(crate) announce: Notify,
 }
 
 impl Shared {
@@ -121,7 +119,6 @@
             clients: Mutex::default(),
             desk: Mutex::new(desk),
             work: Notify::new(),
-            announce: Notify::new(),
         }
     }
 
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -119,7 +119,9 @@
         };
         match tried {
             Try::Answer(answer) => return Ok(answer),
-            Try::Problem(problem) if !may_have_run => return Err(problem),
+            Try::Problem(problem) if !may_have_run || !says_not_run(&problem) => {
+                return Err(problem);
+            }
             Try::Problem(_) => return Err(lost(&req).problem()),
             Try::Elsewhere => {}
             Try::Lost => may_have_run = matches!(req, JobRequest::Submit(_)),
@@ -136,6 +138,12 @@
     }
 }
 
+/// Tells whether a refusal says that nothing of the job was started.
+fn says_not_run(problem: &Problem) -> bool {
+    const MAY_HAVE_RUN: [&str; 3] = ["key_reused", "key_too_old", "owner_lost"];
+    !MAY_HAVE_RUN.contains(&problem.kind.as_str())
+}
+
 /// Serves a request that another entry has passed on.
 pub(crate) async fn answer(shared: &Shared, message: ForwardRequest) -> ForwardReply {
     let span = info_span!("owner", customer = message.customer, key = message.key);
--- a/crates/daemon/src/entry/jobs.rs
+++ b/crates/daemon/src/entry/jobs.rs
@@ -4,11 +4,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use cowslipwing_claims::{Job, JobPhase, KeyVerdict};
+use cowslipwing_claims::{Job, JobPhase, KeyVerdict, Recovery, Stage};
 use cowslipwing_fold::Terms;
 use cowslipwing_policy::{Admission, Refusal};
-use cowslipwing_proto::{JobAnswer, JobState, Task, TaskId as TaskIdMessage};
-use cowslipwing_types::{BatchName, JobId, RangeId, to_millis};
+use cowslipwing_proto::{JobAnswer, JobState, Task};
+use cowslipwing_types::{BatchName, JobId, RangeId, TaskId, TaskIndex, to_millis};
 use tokio::sync::oneshot;
 
 use super::shard::{EndedJob, OpenJob, Reply, Serving, Shard};
@@ -97,6 +97,9 @@
         KeyVerdict::TooOld => return Err(ApiError::KeyTooOld { job: checked.job.clone() }),
         KeyVerdict::FromFuture => return Err(ApiError::KeyFromFuture { job: checked.job.clone() }),
     }
+    if was_other_submission(recovery, checked) {
+        return Err(ApiError::KeyReused { job: checked.job.clone() });
+    }
     let terms = terms_of(shared, &checked.job.customer)?;
     let tasks = &checked.submission.tasks;
     let time_left = checked.deadline.duration_since(wall).unwrap_or_default();
@@ -128,6 +131,16 @@
     Ok(())
 }
 
+/// Tells whether an agent holds a task of the key that belongs to another submission.
+fn was_other_submission(recovery: &Recovery, checked: &Checked) -> bool {
+    let indexes = (0..checked.submission.tasks.len() as u32).map(TaskIndex::new);
+    let mut found =
+        indexes.filter_map(|index| recovery.found(&TaskId { job: checked.job.clone(), index }));
+    found.any(|found| {
+        found.report.stage != Stage::NotStarted && found.fingerprint != checked.fingerprint
+    })
+}
+
 /// Judges whether the job is taken on; returns the estimated cost of a task.
 fn admit(
     shared: &Shared,
@@ -298,9 +311,8 @@
     }
     forget_queued(shared, range, open);
     for (index, agent) in open.job.sent() {
-        let task = cowslipwing_types::TaskId { job: open.job.id().clone(), index };
-        let message: TaskIdMessage = task_to(&task);
-        link::send(shared, agent, link::Message::TakeBack(message));
+        let task = TaskId { job: open.job.id().clone(), index };
+        link::send(shared, agent, link::Message::TakeBack(task_to(&task)));
     }
 }
 
--- a/crates/testkit/tests/testsuite/jobs.rs
+++ b/crates/testkit/tests/testsuite/jobs.rs
@@ -60,3 +60,28 @@
     assert_eq!(session.starts(), 0);
     insta::assert_snapshot!(session.transcript());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_stays_with_its_submission_after_a_takeover() {
+    const KEYS: u32 = 12;
+    let mut session = Session::start().await.with_contract("shop").await;
+    session.cluster.entry("b").await.unwrap();
+    session.cluster.entry("c").await.unwrap();
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    assert!(session.cluster.wait_ready(1, Duration::from_secs(40)).await);
+    let caller = cowslipwing_testkit::Caller::new();
+    for (number, entry) in (0..KEYS).zip(session.cluster.entries().into_iter().cycle()) {
+        let reply = caller.submit(entry, &format!("hold-{number}"), &job("shop", 1, "one")).await;
+        assert_eq!(reply.unwrap().status, 200);
+    }
+    session.cluster.kill("a");
+    let entry = session.cluster.entries()[0];
+    for number in 0..KEYS {
+        let key = format!("hold-{number}");
+        let other = caller.submit(entry, &key, &job("shop", 1, "two")).await.unwrap();
+        assert_eq!(other.problem().unwrap().kind, "key_reused", "{}", other.body);
+        let same = caller.submit(entry, &key, &job("shop", 1, "one")).await.unwrap();
+        assert_eq!(same.status, 200, "{}", same.body);
+    }
+    assert_eq!(session.starts(), KEYS);
+}
