Check the lease once more where a task is sent

Cause: found by reading: between the choice of a task and its sending the range could move on to another epoch and come back to this entry, and the lease checked was the former epoch's. The window is a few microseconds; no test reaches it, since the choice and the sending have no event between them in the search. Change: the lease is checked for the epoch of the order, under the lock of the range.

--- a/crates/daemon/src/entry/dispatch.rs
+++ b/crates/daemon/src/entry/dispatch.rs
@@ -18,7 +18,6 @@
 
 /// Time after which the dispatcher looks again although nothing has woken it.
 const LOOK_INTERVAL: Duration = Duration::from_millis(20);
-
 /// The same while no task waits.
 const IDLE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -47,6 +46,12 @@
     };
     let mut shard = shared.shard(queued.range);
     let epoch = shard.epoch;
+    if !lock(&shared.leases).covers(queued.range, epoch, shared.now()) {
+        // The range has changed its owner since the task was chosen.
+        drop(shard);
+        put_back(shared, queued, &agent);
+        return false;
+    }
     let index = shard.open.get_mut(&queued.job).and_then(|open| open.job.send_next(&agent));
     let Some((index, open)) = index.zip(shard.open.get(&queued.job)) else {
         drop(shard);
@@ -59,6 +64,15 @@
     true
 }
 
+/// Undoes the choice of a task.
+fn put_back(shared: &Shared, queued: Queued, agent: &Incarnation) {
+    let mut dispatch = lock(&shared.dispatch);
+    let customer = queued.job.customer.clone();
+    dispatch.dispatcher.on_unused(&customer, agent);
+    let cost = dispatch.dispatcher.estimates.get(&customer, "", None);
+    dispatch.dispatcher.queue.push(&customer, queued, 1, cost);
+}
+
 /// Chooses the next task and its agent, under a lease.
 fn choose(shared: &Shared, members: &MemberSet) -> Option<(Queued, Incarnation)> {
     let mut dispatch = lock(&shared.dispatch);
