--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -1,5 +1,6 @@
 //! Sets up logs, metrics and traces.
 
+use std::fmt::Debug;
 use std::fs::File;
 use std::io::Write;
 use std::path::PathBuf;
@@ -97,12 +98,12 @@
     let provider = match target {
         Traces::Off => return Ok(None),
         Traces::Stdout => {
-            builder.with_simple_exporter(opentelemetry_stdout::SpanExporter::default()).build()
+            builder.with_simple_exporter(LineExporter::new(std::io::stdout())).build()
         }
         Traces::File(path) => {
             let file = File::options().create(true).append(true).open(path);
             let file = file.context(BadFileSnafu { path })?;
-            builder.with_simple_exporter(FileExporter { file: Mutex::new(file) }).build()
+            builder.with_simple_exporter(LineExporter::new(file)).build()
         }
         Traces::Otlp(address) => {
             let exporter = SpanExporter::builder()
@@ -125,17 +126,27 @@
 
 /// Writes each span as one line.
 #[derive(Debug)]
-struct FileExporter {
-    file: Mutex<File>,
+struct LineExporter<W> {
+    out: Mutex<W>,
 }
 
-impl Exporter for FileExporter {
+impl<W> LineExporter<W> {
+    fn new(out: W) -> Self {
+        Self { out: Mutex::new(out) }
+    }
+}
+
+impl<W> Exporter for LineExporter<W>
+where
+    W: Write + Send + Debug,
+{
     async fn export(&self, batch: Vec<SpanData>) -> OTelSdkResult {
-        let mut file = self.file.lock().expect("no holder of the file panics");
+        let mut out = self.out.lock().expect("no holder of the output panics");
         for span in batch {
             let took = span.end_time.duration_since(span.start_time).unwrap_or_default();
+            // A span that cannot be written is lost, and nothing else.
             let _ = writeln!(
-                file,
+                out,
                 "trace={} span={} parent={} name={} micros={}",
                 span.span_context.trace_id(),
                 span.span_context.span_id(),
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -123,8 +123,8 @@
 
 fn check_traces(text: &str) -> Checked<Traces> {
     match text {
-        "" | "off" => return Ok(Traces::Off),
-        "stdout" => return Ok(Traces::Stdout),
+        "off" => return Ok(Traces::Off),
+        "" | "stdout" => return Ok(Traces::Stdout),
         _ => {}
     }
     if let Some(path) = text.strip_prefix("file:") {
