Name handovers, announcements and queued tasks by the field's terms

Cause: found by reading as a newcomer: gift, giver, heir, hearsay and desk are metaphors where the field has terms.

--- a/crates/claims/src/hearsay.rs
+++ b/crates/claims/src/announcements.rs
@@ -22,22 +22,22 @@
 ///
 /// ```
 /// use std::time::{Duration, Instant};
-/// use cowslipwing_claims::Hearsay;
+/// use cowslipwing_claims::Announcements;
 ///
 /// let now = Instant::now();
-/// let mut hearsay = Hearsay::new(Duration::from_secs(600));
-/// hearsay.hear(now, "agent-1".parse().unwrap(), "10.0.0.1:7000");
-/// assert_eq!(hearsay.after(0).count(), 1);
-/// assert_eq!(hearsay.after(1).count(), 0);
+/// let mut announcements = Announcements::new(Duration::from_secs(600));
+/// announcements.hear(now, "agent-1".parse().unwrap(), "10.0.0.1:7000");
+/// assert_eq!(announcements.after(0).count(), 1);
+/// assert_eq!(announcements.after(1).count(), 0);
 /// ```
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub struct Hearsay<A> {
+pub struct Announcements<A> {
     retention: Duration,
     last_position: u64,
     heard: SortedMap<Incarnation, Announced<A>>,
 }
 
-impl<A> Hearsay<A> {
+impl<A> Announcements<A> {
     /// Returns an entry's empty list, which keeps incarnations for `retention` after their last
     /// announcement.
     pub fn new(retention: Duration) -> Self {
--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! Everything here is pure: events and times go in, decisions come out.
 
-mod hearsay;
+mod announcements;
 mod job;
 mod key;
 mod lease;
@@ -14,7 +14,7 @@
 mod takeover;
 mod votes;
 
-pub use hearsay::{Announced, Hearsay, Usable};
+pub use announcements::{Announced, Announcements, Usable};
 pub use job::{FailReason, Job, JobPhase, Outcome, TaskState};
 pub use key::{AgeRules, KeyVerdict};
 pub use lease::{LeaseRound, Leases};
--- a/crates/claims/tests/testsuite/members.rs
+++ b/crates/claims/tests/testsuite/members.rs
@@ -10,7 +10,7 @@
 /// The owner whose range is taken over.
 const OWNER: usize = 0;
 /// The entry that takes it over.
-const HEIR: usize = 1;
+const SUCCESSOR: usize = 1;
 const CHANGES: usize = 3;
 
 /// A rule that is left out.
@@ -33,10 +33,10 @@
     /// Changes that each entry follows.
     follows: [usize; NAMES.len()],
     promised: [bool; NAMES.len()],
-    /// Changes that stand on the log before the heir's record, once it is there.
+    /// Changes that stand on the log before the successor's record, once it is there.
     record: Option<usize>,
-    /// Changes the heir followed when it asked, once it has.
-    asked_heir: Option<usize>,
+    /// Changes the successor followed when it asked, once it has.
+    asked_successor: Option<usize>,
     /// A majority has promised.
     is_past: bool,
     /// What the owner follows in its question asked after that, and who has confirmed.
@@ -51,7 +51,7 @@
             follows: [0; NAMES.len()],
             promised: [false; NAMES.len()],
             record: None,
-            asked_heir: None,
+            asked_successor: None,
             is_past: false,
             question: None,
         }
@@ -106,7 +106,7 @@
         let members = self.members(self.log.len());
         for (entry, name) in NAMES.iter().enumerate() {
             let is_member = members.contains(&name.parse().unwrap());
-            if is_member && (members.len() == 1 || entry == HEIR) {
+            if is_member && (members.len() == 1 || entry == SUCCESSOR) {
                 continue;
             }
             let mut next = self.clone();
@@ -136,7 +136,7 @@
     }
 
     fn promise(&self, entry: usize, dropped: Dropped, worlds: &mut Vec<Self>) {
-        let Some(asked) = self.asked_heir else {
+        let Some(asked) = self.asked_successor else {
             return;
         };
         let same = asked == self.follows[entry] || dropped == Dropped::SameVersion;
@@ -162,17 +162,17 @@
         }
     }
 
-    /// The heir appends its record, reads it back with all that stands before it, asks for promises
+    /// The successor appends its record, reads it back with all that stands before it, asks for promises
     /// and counts them. An owner that has read the log past the record asks no more.
     fn take_over(&self, worlds: &mut Vec<Self>) {
         let Some(record) = self.record else {
             worlds.push(Self { record: Some(self.log.len()), ..self.clone() });
             return;
         };
-        let follows = self.follows[HEIR];
+        let follows = self.follows[SUCCESSOR];
         let has_read_back = follows >= record;
-        if has_read_back && self.asked_heir != Some(follows) && !self.is_past {
-            worlds.push(Self { asked_heir: Some(follows), ..self.clone() });
+        if has_read_back && self.asked_successor != Some(follows) && !self.is_past {
+            worlds.push(Self { asked_successor: Some(follows), ..self.clone() });
         }
         if !self.is_past && self.majority(follows, |entry| self.promised[entry]) {
             worlds.push(Self { is_past: true, ..self.clone() });
--- a/crates/claims/tests/testsuite/world.rs
+++ b/crates/claims/tests/testsuite/world.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use cowslipwing_claims::{
-    AgeRules, Claimed, Confirmation, Found, Hearsay, KeyVerdict, LeaseRound, Leases, Ledger,
+    AgeRules, Announcements, Claimed, Confirmation, Found, KeyVerdict, LeaseRound, Leases, Ledger,
     LedgerLimits, Promised, Recovery, Report, Stage, StartOrder, StartVerdict, TakeBackVerdict,
     Takeover, Usable, Votes,
 };
@@ -132,7 +132,7 @@
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct Entry {
     votes: Votes,
-    hearsay: Hearsay<usize>,
+    announcements: Announcements<usize>,
 }
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -221,11 +221,11 @@
         let version = frame_version();
         let mut votes = Votes::new(ABSENCE);
         votes.read_tail(frame.at(0), version);
-        let mut hearsay = Hearsay::new(ABSENCE);
+        let mut announcements = Announcements::new(ABSENCE);
         for agent in 0..AGENTS {
-            hearsay.hear(frame.at(0), incarnation_of(agent, 0), agent);
+            announcements.hear(frame.at(0), incarnation_of(agent, 0), agent);
         }
-        let entry = Entry { votes, hearsay };
+        let entry = Entry { votes, announcements };
         let agent = |number| Agent { ledger: new_ledger(frame, number, 0), restarts: 0 };
         let first = Owner::new(0, Epoch::new(1), Phase::Serving(Recovery::first_owner()));
         Self {
@@ -276,7 +276,7 @@
             }
             let incarnation = self.incarnation(agent);
             for entry in 0..ENTRIES {
-                if self.entries[entry].hearsay.get(&incarnation).is_none() {
+                if self.entries[entry].announcements.get(&incarnation).is_none() {
                     events.push(Event::Announce { agent, entry });
                 }
             }
@@ -388,7 +388,7 @@
 
     fn announce(&mut self, frame: &Frame, agent: usize, entry: usize) -> bool {
         let incarnation = self.incarnation(agent);
-        self.entries[entry].hearsay.hear(frame.at(0), incarnation, agent)
+        self.entries[entry].announcements.hear(frame.at(0), incarnation, agent)
     }
 
     fn restart_agent(&mut self, frame: &Frame, agent: usize) -> bool {
@@ -404,7 +404,7 @@
         if frame.drops(Dropped::PeerSilence) {
             votes.read_tail(frame.at(0), frame_version());
         }
-        self.entries[entry] = Entry { votes, hearsay: Hearsay::new(ABSENCE) };
+        self.entries[entry] = Entry { votes, announcements: Announcements::new(ABSENCE) };
         true
     }
 
@@ -454,7 +454,7 @@
         let Confirmation::Confirmed(confirmed) = answer else {
             return None;
         };
-        let heard = peer.hearsay.after(0).map(|(id, heard)| (heard.position, id.clone()));
+        let heard = peer.announcements.after(0).map(|(id, heard)| (heard.position, id.clone()));
         Some(Answer { confirmed: !confirmed.is_empty(), heard: heard.collect() })
     }
 
@@ -584,7 +584,7 @@
         if !peer.votes.may_vote(frame.at(0)) || !peer.votes.promise(frame.range(), owner.epoch) {
             return false;
         }
-        let heard: Vec<Incarnation> = peer.hearsay.all().map(|(id, _)| id.clone()).collect();
+        let heard: Vec<Incarnation> = peer.announcements.all().map(|(id, _)| id.clone()).collect();
         takeover.on_promise(&frame.ids[entry], heard);
         true
     }
--- a/crates/daemon/src/agent/announce.rs
+++ b/crates/daemon/src/agent/announce.rs
@@ -31,7 +31,7 @@
 /// Announces to every entry known, and to the contact where none is.
 pub(crate) async fn announce_once(shared: &Shared) {
     let announcement =
-        Announcement { leaving: shared.desk().leaving, ..shared.announcement.clone() };
+        Announcement { leaving: shared.tasks().leaving, ..shared.announcement.clone() };
     let mut addresses: Vec<String> = members(shared).into_iter().map(|member| member.rpc).collect();
     addresses.push(shared.contact.to_string());
     addresses.sort();
--- a/crates/daemon/src/agent/runner.rs
+++ b/crates/daemon/src/agent/runner.rs
@@ -41,7 +41,7 @@
         let now = shared.now();
         if now >= swept_at + SWEEP_INTERVAL {
             swept_at = now;
-            shared.desk().ledger.expire(now);
+            shared.tasks().ledger.expire(now);
         }
         let _ = timeout(LOOK_INTERVAL, shared.work.notified()).await;
     }
@@ -54,13 +54,13 @@
 }
 
 fn start_due(shared: &Arc<Shared>, client: &Client) {
-    let mut desk = shared.desk();
+    let mut tasks = shared.tasks();
     let now = shared.now();
-    desk.drop_late(now, to_millis(shared.clock.wall()));
-    while let Some(waiting) = desk.next(shared.slots) {
+    tasks.drop_late(now, to_millis(shared.clock.wall()));
+    while let Some(waiting) = tasks.next(shared.slots) {
         tokio::spawn(run_task(shared.clone(), client.clone(), waiting));
     }
-    desk.issue_credits(now);
+    tasks.issue_credits(now);
 }
 
 async fn run_task(shared: Arc<Shared>, client: Client, waiting: Waiting) {
@@ -75,7 +75,7 @@
     let run_time = now.duration_since(started);
     shared.metrics.count(counter_of(stage), 1);
     shared.metrics.time("agent.tasks.run", run_time);
-    shared.desk().finish(now, &waiting.task, Report { stage, output, run_time });
+    shared.tasks().finish(now, &waiting.task, Report { stage, output, run_time });
     shared.work.notify_one();
 }
 
--- a/crates/daemon/src/agent/service.rs
+++ b/crates/daemon/src/agent/service.rs
@@ -52,7 +52,7 @@
         }
         let entry: EntryId = hello.entry.parse().map_err(|_| Status::invalid_argument("entry"))?;
         let (tx, rx) = mpsc::unbounded_channel();
-        let generation = self.shared.desk().subscribe(&entry, tx);
+        let generation = self.shared.tasks().subscribe(&entry, tx);
         tokio::spawn(take_orders(self.shared.clone(), entry, generation, batches));
         let batched = UnboundedReceiverStream::new(rx).ready_chunks(BATCH_REPORTS).map(merge);
         Ok(Response::new(Box::pin(batched)))
@@ -68,9 +68,9 @@
         if req.incarnation != self.shared.incarnation.as_str() {
             return Ok(Response::new(reply));
         }
-        let mut desk = self.shared.desk();
+        let mut tasks = self.shared.tasks();
         for (range, epoch) in claims_of(&req.ranges) {
-            match desk.ledger.survey(range, epoch) {
+            match tasks.ledger.survey(range, epoch) {
                 Ok(held) => reply.holdings.extend(held.map(|(task, held)| holding_to(task, held))),
                 Err(_) => reply.fenced.push(range.get()),
             }
@@ -101,27 +101,27 @@
             take_batch(&shared, &entry, batch);
         }
     }
-    shared.desk().unsubscribe(&entry, generation);
+    shared.tasks().unsubscribe(&entry, generation);
 }
 
 fn take_batch(shared: &Shared, entry: &EntryId, batch: ToAgent) {
     let now = shared.now();
-    let mut desk = shared.desk();
+    let mut tasks = shared.tasks();
     if batch.returned_credits > 0 {
-        desk.issuer.on_returned(entry, batch.returned_credits);
+        tasks.issuer.on_returned(entry, batch.returned_credits);
     }
     for start in batch.starts {
         if let Some(task) = start.task.as_ref().and_then(task_of) {
-            desk.start(now, entry, task, start);
+            tasks.start(now, entry, task, start);
         }
     }
     for task in batch.take_backs.iter().filter_map(|back| back.task.as_ref().and_then(task_of)) {
-        desk.take_back(now, entry, &task);
+        tasks.take_back(now, entry, &task);
     }
     if batch.demand > 0 {
-        desk.issuer.set_demand(now, entry, batch.demand);
+        tasks.issuer.set_demand(now, entry, batch.demand);
     }
-    desk.issue_credits(now);
-    drop(desk);
+    tasks.issue_credits(now);
+    drop(tasks);
     shared.work.notify_one();
 }
--- a/crates/daemon/src/agent/state.rs
+++ b/crates/daemon/src/agent/state.rs
@@ -38,7 +38,7 @@
 }
 
 /// What changes while tasks come and go.
-pub(crate) struct Desk {
+pub(crate) struct Tasks {
     pub(crate) ledger: Ledger,
     pub(crate) issuer: CreditIssuer,
     pub(crate) queue: VecDeque<Waiting>,
@@ -66,7 +66,7 @@
     pub(crate) members: Mutex<Vec<Member>>,
     /// Clients of entries, by address.
     pub(crate) clients: Mutex<SortedMap<String, PeerClient<Channel>>>,
-    desk: Mutex<Desk>,
+    tasks: Mutex<Tasks>,
     /// Wakes the runner.
     pub(crate) work: Notify,
 }
@@ -83,7 +83,7 @@
         let name = format!("{}@{}", agent.endpoint, &tag[..8]);
         let incarnation: Incarnation = name.parse().expect("a checked name and hex digits");
         let limits = LedgerLimits { tasks: MAX_REMEMBERED_TASKS, ages: config.lease.ages };
-        let desk = Desk {
+        let tasks = Tasks {
             ledger: Ledger::new(incarnation.clone(), limits),
             issuer: CreditIssuer::new(agent.slots + agent.queue),
             queue: VecDeque::new(),
@@ -117,7 +117,7 @@
             metrics,
             members: Mutex::default(),
             clients: Mutex::default(),
-            desk: Mutex::new(desk),
+            tasks: Mutex::new(tasks),
             work: Notify::new(),
         }
     }
@@ -126,33 +126,33 @@
         self.clock.now()
     }
 
-    pub(crate) fn desk(&self) -> MutexGuard<'_, Desk> {
-        self.desk.lock().expect("no holder of the desk panics")
+    pub(crate) fn tasks(&self) -> MutexGuard<'_, Tasks> {
+        self.tasks.lock().expect("no holder of the tasks panics")
     }
 
     /// Returns the number of tasks at the endpoint.
     pub(crate) fn running(&self) -> u32 {
-        self.desk().running
+        self.tasks().running
     }
 
     /// Takes no more work and gives back what is queued.
     pub(crate) fn begin_leaving(&self) {
-        let mut desk = self.desk();
-        desk.leaving = true;
-        desk.give_back_queued(self.now());
+        let mut tasks = self.tasks();
+        tasks.leaving = true;
+        tasks.give_back_queued(self.now());
     }
 
     /// Follows whether operators have withdrawn the endpoint.
     pub(crate) fn set_withdrawn(&self, withdrawn: bool) {
-        let mut desk = self.desk();
-        desk.withdrawn = withdrawn;
+        let mut tasks = self.tasks();
+        tasks.withdrawn = withdrawn;
         if withdrawn {
-            desk.give_back_queued(self.now());
+            tasks.give_back_queued(self.now());
         }
     }
 }
 
-impl Desk {
+impl Tasks {
     /// Adds the stream of an entry, in place of an older one; returns its generation.
     pub(crate) fn subscribe(
         &mut self,
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -4,7 +4,6 @@
 mod dispatch;
 mod follow;
 mod forward;
-mod gift;
 mod handover;
 mod http;
 mod jobs;
@@ -19,6 +18,7 @@
 mod shared;
 mod submission;
 mod takeover;
+mod transfer;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/daemon/src/entry/handover.rs
+++ b/crates/daemon/src/entry/handover.rs
@@ -5,13 +5,13 @@
 use std::time::{Duration, Instant};
 
 use cowslipwing_fold::MemberSet;
-use cowslipwing_proto::{Gift, RangeEpoch, RangeGift, RangeTakeover, record::Body};
+use cowslipwing_proto::{RangeEpoch, RangeTakeover, RangeTransfer, Transfer, record::Body};
 use cowslipwing_types::{EntryId, RangeId, SortedMap};
 
 use super::follow::append_or_warn;
-use super::gift;
 use super::membership;
 use super::shared::{Shared, lock};
+use super::transfer;
 
 /// Time between two looks at whether other entries rank first.
 const REBALANCE_INTERVAL: Duration = Duration::from_millis(250);
@@ -89,44 +89,45 @@
 async fn give_drained(shared: &Shared, ranges: &[RangeId], started: Instant) {
     let overdue = shared.now() >= started + DRAIN_LIMIT;
     let members = shared.members();
-    let mut gifts: SortedMap<EntryId, Gift> = SortedMap::new();
+    let mut transfers: SortedMap<EntryId, Transfer> = SortedMap::new();
     for range in ranges {
-        let Some(heir) = heir_of(shared, &members, *range) else {
+        let Some(successor) = successor_of(shared, &members, *range) else {
             continue;
         };
         let mut shard = shared.shard(*range);
         shard.draining = true;
-        let gift = match gift::wrap(shared, &mut shard, *range) {
-            Some(gift) => gift,
-            None if overdue => gift::bare(&shard, *range),
+        let transfer = match transfer::wrap(shared, &mut shard, *range) {
+            Some(transfer) => transfer,
+            None if overdue => transfer::bare(&shard, *range),
             None => continue,
         };
-        gifts.get_or_insert_with(heir, Gift::default).ranges.push(gift);
+        transfers.get_or_insert_with(successor, Transfer::default).ranges.push(transfer);
     }
-    for (heir, gift) in gifts.iter() {
-        let serial = shared.gifts_given.fetch_add(1, Ordering::Relaxed) + 1;
-        let giver = shared.id.to_string();
-        give(shared, heir, &Gift { giver, serial, ..gift.clone() }).await;
+    for (successor, transfer) in transfers.iter() {
+        let serial = shared.transfers_given.fetch_add(1, Ordering::Relaxed) + 1;
+        let sender = shared.id.to_string();
+        give(shared, successor, &Transfer { sender, serial, ..transfer.clone() }).await;
     }
 }
 
-/// Tells the heir what is known of the ranges, then makes it their owner.
-async fn give(shared: &Shared, heir: &EntryId, gift: &Gift) {
-    if !gift::send(shared, heir, gift).await {
-        gift::take_back(shared, heir, gift).await;
+/// Tells the successor what is known of the ranges, then makes it their owner.
+async fn give(shared: &Shared, successor: &EntryId, transfer: &Transfer) {
+    if !transfer::send(shared, successor, transfer).await {
+        transfer::take_back(shared, successor, transfer).await;
         return;
     }
-    let claim = |gift: &RangeGift| RangeEpoch { range: gift.range, epoch: gift.epoch };
-    let ranges = gift.ranges.iter().map(claim).collect();
-    log::info!("ranges: gives {} to {heir}.", gift.ranges.len());
-    let takeover = RangeTakeover { owner: heir.to_string(), ranges };
+    let claim =
+        |transfer: &RangeTransfer| RangeEpoch { range: transfer.range, epoch: transfer.epoch };
+    let ranges = transfer.ranges.iter().map(claim).collect();
+    log::info!("ranges: gives {} to {successor}.", transfer.ranges.len());
+    let takeover = RangeTakeover { owner: successor.to_string(), ranges };
     if !append_or_warn(shared, "a handover", Body::Takeover(takeover)).await {
-        gift::take_back(shared, heir, gift).await;
+        transfer::take_back(shared, successor, transfer).await;
     }
 }
 
 /// Returns the entry that a range goes to; this entry itself where it ranks first again.
-fn heir_of(shared: &Shared, members: &MemberSet, range: RangeId) -> Option<EntryId> {
+fn successor_of(shared: &Shared, members: &MemberSet, range: RangeId) -> Option<EntryId> {
     let best = shared.best_owner(members, range);
     let stays = best.as_ref() == Some(&shared.id) && !shared.is_stopping();
     if stays {
--- a/crates/daemon/src/entry/jobs.rs
+++ b/crates/daemon/src/entry/jobs.rs
@@ -283,7 +283,7 @@
         };
         shared.shard(range).ended.retain(|id, ended| keeps(id, ended));
     }
-    lock(&shared.hearsay).expire(now);
+    lock(&shared.announcements).expire(now);
     link::forget_silent(shared);
     let dispatch = lock(&shared.dispatch);
     shared.metrics.gauge("entry.tasks.waiting", u64::from(dispatch.dispatcher.queue.len()));
--- a/crates/daemon/src/entry/lease.rs
+++ b/crates/daemon/src/entry/lease.rs
@@ -68,8 +68,8 @@
     round.on_confirmed(&shared.id, &confirmed);
     let asked: Vec<RangeId> = claims.iter().map(|claim| claim.0).collect();
     let mut usable = lock(&shared.usable);
-    let hearsay = lock(&shared.hearsay);
-    let heard: Vec<_> = hearsay
+    let announcements = lock(&shared.announcements);
+    let heard: Vec<_> = announcements
         .after(usable.position(&shared.id))
         .map(|(incarnation, announced)| (announced.position, incarnation.clone()))
         .collect();
--- a/crates/daemon/src/entry/peers.rs
+++ b/crates/daemon/src/entry/peers.rs
@@ -5,9 +5,9 @@
 use cowslipwing_claims::Confirmation;
 use cowslipwing_proto::peer_server::{Peer, PeerServer};
 use cowslipwing_proto::{
-    AnnounceReply, Announcement, FoldRequest, FoldState, ForwardReply, ForwardRequest, Gift,
-    GiftReply, Heard, LeaseCheck, LeaseReply, LoanReply, LoanRequest, PromiseReply, PromiseRequest,
-    Repayment, RepaymentReply,
+    AnnounceReply, Announcement, FoldRequest, FoldState, ForwardReply, ForwardRequest, Heard,
+    LeaseCheck, LeaseReply, LoanReply, LoanRequest, PromiseReply, PromiseRequest, Repayment,
+    RepaymentReply, Transfer, TransferReply,
 };
 use cowslipwing_types::{EntryId, Incarnation, MemberVersion};
 use tokio::net::TcpListener;
@@ -16,7 +16,7 @@
 use tonic::{Request, Response, Status};
 
 use super::shared::{Shared, lock};
-use super::{forward, gift, link, loans, takeover};
+use super::{forward, link, loans, takeover, transfer};
 use crate::convert::claims_of;
 use crate::net::{self, Addressee};
 
@@ -47,7 +47,7 @@
             .parse()
             .map_err(|_| Status::invalid_argument("incarnation"))?;
         let now = self.shared.now();
-        lock(&self.shared.hearsay).hear(now, incarnation, announcement.clone());
+        lock(&self.shared.announcements).hear(now, incarnation, announcement.clone());
         link::learn(&self.shared, announcement);
         Ok(())
     }
@@ -74,8 +74,8 @@
             return LeaseReply { abstains: true, ..base };
         };
         // The votes stay locked, so that no promise comes between them and the list.
-        let hearsay = lock(&self.shared.hearsay);
-        let heard = hearsay
+        let announcements = lock(&self.shared.announcements);
+        let heard = announcements
             .after(check.heard_after)
             .map(|(_, announced)| Heard {
                 position: announced.position,
@@ -133,9 +133,12 @@
         Ok(Response::new(RepaymentReply {}))
     }
 
-    async fn give(&self, req: Request<Gift>) -> Result<Response<GiftReply>, Status> {
-        let accepted = gift::accept(&self.shared, req.into_inner());
-        Ok(Response::new(GiftReply { accepted }))
+    async fn transfer_ranges(
+        &self,
+        req: Request<Transfer>,
+    ) -> Result<Response<TransferReply>, Status> {
+        let accepted = transfer::accept(&self.shared, req.into_inner());
+        Ok(Response::new(TransferReply { accepted }))
     }
 
     async fn fetch_fold(&self, _: Request<FoldRequest>) -> Result<Response<FoldState>, Status> {
--- a/crates/daemon/src/entry/shared.rs
+++ b/crates/daemon/src/entry/shared.rs
@@ -5,11 +5,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::{Duration, Instant};
 
-use cowslipwing_claims::{Hearsay, Leases, Usable, Votes};
+use cowslipwing_claims::{Announcements, Leases, Usable, Votes};
 use cowslipwing_fold::{Fold, MemberSet, Outcome};
 use cowslipwing_log::PlatformLog;
 use cowslipwing_policy::{Dispatcher, Need, Waiting};
-use cowslipwing_proto::{self as proto, RangeGift, peer_client::PeerClient};
+use cowslipwing_proto::{self as proto, RangeTransfer, peer_client::PeerClient};
 use cowslipwing_settings::{Config, EntryConfig, LeaseConfig, LimitConfig};
 use cowslipwing_types::{
     AppendId, Clock, CustomerName, EntryId, Epoch, Incarnation, JobId, MemberVersion, RANGES,
@@ -130,7 +130,7 @@
     pub(crate) votes: Mutex<Votes>,
     pub(crate) leases: Mutex<Leases>,
     pub(crate) usable: Mutex<Usable>,
-    pub(crate) hearsay: Mutex<Hearsay<proto::Announcement>>,
+    pub(crate) announcements: Mutex<Announcements<proto::Announcement>>,
     pub(crate) dispatch: Mutex<Dispatch>,
     pub(crate) links: Mutex<SortedMap<Incarnation, Link>>,
     pub(crate) peers: Mutex<SortedMap<EntryId, PeerState>>,
@@ -138,10 +138,10 @@
     pub(crate) hold_until: Mutex<Option<Instant>>,
     pub(crate) allotments: Mutex<SortedMap<CustomerName, Allotted>>,
     /// What former owners have told of ranges that this entry is to have.
-    pub(crate) gifts: Mutex<SortedMap<RangeId, RangeGift>>,
-    /// Last gift that each giver has taken back.
-    pub(crate) gifts_taken_back: Mutex<SortedMap<String, u64>>,
-    pub(crate) gifts_given: AtomicU64,
+    pub(crate) transfers: Mutex<SortedMap<RangeId, RangeTransfer>>,
+    /// Last transfer that each sender has taken back.
+    pub(crate) transfers_taken_back: Mutex<SortedMap<String, u64>>,
+    pub(crate) transfers_given: AtomicU64,
     shards: Vec<Mutex<Shard>>,
     pub(crate) open_jobs: AtomicU32,
     pub(crate) requests: AtomicU32,
@@ -190,15 +190,15 @@
             votes: Mutex::new(Votes::new(config.lease.log_absence)),
             leases: Mutex::new(Leases::new(config.lease.length)),
             usable: Mutex::default(),
-            hearsay: Mutex::new(Hearsay::new(remembered)),
+            announcements: Mutex::new(Announcements::new(remembered)),
             dispatch: Mutex::default(),
             links: Mutex::default(),
             peers: Mutex::default(),
             hold_until: Mutex::default(),
             allotments: Mutex::default(),
-            gifts: Mutex::default(),
-            gifts_taken_back: Mutex::default(),
-            gifts_given: AtomicU64::new(0),
+            transfers: Mutex::default(),
+            transfers_taken_back: Mutex::default(),
+            transfers_given: AtomicU64::new(0),
             shards: (0..RANGES).map(|_| Mutex::new(Shard::new())).collect(),
             open_jobs: AtomicU32::new(0),
             requests: AtomicU32::new(0),
--- a/crates/daemon/src/entry/takeover.rs
+++ b/crates/daemon/src/entry/takeover.rs
@@ -16,9 +16,9 @@
 use tokio::time::timeout;
 
 use super::append::append;
-use super::gift;
 use super::shard::Serving;
 use super::shared::{Shared, lock};
+use super::transfer;
 use crate::convert::{claims_to, found_of, ranges_of};
 use crate::net;
 
@@ -119,8 +119,10 @@
     for (range, epoch) in first {
         shared.shard(range).serve(epoch, Recovery::first_owner());
     }
-    let later: Vec<_> =
-        later.into_iter().filter(|(range, epoch)| !gift::open(&shared, *range, *epoch)).collect();
+    let later: Vec<_> = later
+        .into_iter()
+        .filter(|(range, epoch)| !transfer::open(&shared, *range, *epoch))
+        .collect();
     shared.work.notify_one();
     if later.is_empty() {
         return;
@@ -208,8 +210,8 @@
     }
     // The list is read after the promises, so that what is heard of later is not used by the old
     // owner.
-    let hearsay = lock(&shared.hearsay);
-    let heard = hearsay.all().map(|(_, announced)| announced.announcement.clone()).collect();
+    let announcements = lock(&shared.announcements);
+    let heard = announcements.all().map(|(_, announced)| announced.announcement.clone()).collect();
     PromiseReply { member_version: version.get(), promised, heard }
 }
 
--- a/crates/load/src/credits.rs
+++ b/crates/load/src/credits.rs
@@ -265,9 +265,9 @@
     }
 
     fn start(&mut self, now: Duration, entry: usize, worker: usize, job: usize, task: usize) {
-        let desk = &mut self.workers[worker];
-        desk.issuer.on_start(&self.entry_ids[entry]);
-        desk.queue.push_back((entry, job, task));
+        let state = &mut self.workers[worker];
+        state.issuer.on_start(&self.entry_ids[entry]);
+        state.queue.push_back((entry, job, task));
         self.begin(now, worker);
     }
 
