--- a/crates/cli/src/cmd/settings.rs
+++ b/crates/cli/src/cmd/settings.rs
@@ -29,6 +29,8 @@
     let role = match config.role {
         Role::Entry(entry) => format!("entry {}", entry.name),
         Role::Agent(agent) => format!("agent of {}", agent.endpoint),
+        Role::PlatformEntry(entry) => format!("entry on the platform's VM {}", entry.common.node),
+        Role::PlatformAgent(agent) => format!("agent on the platform's VM {}", agent.common.node),
     };
     println!("{} is valid: {role} at {}", args.file.display(), config.site);
     Ok(())
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,9 +5,12 @@
 
 use bpaf::Bpaf;
 use cowslipwing_daemon::{Agent, Entry, Stop, TelemetryGuard, wait_for_signal};
-use cowslipwing_settings::{Config, Role};
+use cowslipwing_node::{LineLog, Metrics as NodeMetrics};
+use cowslipwing_settings::{Config, PlatformAgentConfig, PlatformEntryConfig, Role};
 use cowslipwing_types::{Clock, SystemClock};
 use snafu::{ResultExt, Whatever};
+use tokio::runtime::Builder;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Runs an entry or an agent, as its settings say.
 #[derive(Clone, Debug, Bpaf)]
@@ -19,10 +22,81 @@
 }
 
 #[snafu::report]
-#[tokio::main]
-async fn main() -> Result<(), Whatever> {
+fn main() -> Result<(), Whatever> {
     let options = options().run();
     let config = Config::load(&options.settings).whatever_context("the daemon cannot start")?;
+    let runtime = match config.role {
+        // VMs of the platform give a process one core; a second thread would only add switches.
+        Role::PlatformEntry(_) | Role::PlatformAgent(_) => Builder::new_current_thread(),
+        Role::Entry(_) | Role::Agent(_) => Builder::new_multi_thread(),
+    }
+    .enable_all()
+    .build();
+    let runtime = runtime.whatever_context("the daemon cannot start")?;
+    runtime.block_on(run(&options, &config))
+}
+
+async fn run(options: &Options, config: &Config) -> Result<(), Whatever> {
+    match &config.role {
+        Role::PlatformEntry(platform) => run_platform_entry(options, config, platform).await,
+        Role::PlatformAgent(platform) => run_platform_agent(options, config, platform).await,
+        Role::Entry(_) | Role::Agent(_) => run_by_log(config).await,
+    }
+}
+
+async fn run_platform_entry(
+    options: &Options,
+    config: &Config,
+    platform: &PlatformEntryConfig,
+) -> Result<(), Whatever> {
+    let _log = LineLog::start(&config.telemetry.log).whatever_context("the entry cannot start")?;
+    let metrics = Arc::new(NodeMetrics::new());
+    let entry = cowslipwing_node::Entry::start(platform, Arc::new(SystemClock), metrics)
+        .await
+        .whatever_context("the entry cannot start")?;
+    entry.run(stop_or_reload(options.settings.clone())).await;
+    Ok(())
+}
+
+async fn run_platform_agent(
+    options: &Options,
+    config: &Config,
+    platform: &PlatformAgentConfig,
+) -> Result<(), Whatever> {
+    let _log = LineLog::start(&config.telemetry.log).whatever_context("the agent cannot start")?;
+    let metrics = Arc::new(NodeMetrics::new());
+    let agent = cowslipwing_node::Agent::start(platform, Arc::new(SystemClock), metrics)
+        .await
+        .whatever_context("the agent cannot start")?;
+    agent.run(stop_or_reload(options.settings.clone())).await;
+    Ok(())
+}
+
+/// Waits for the signal to stop; each SIGHUP checks the settings again. What they hold is in force
+/// from the next start on, since addresses do not change while a process runs.
+async fn stop_or_reload(settings: PathBuf) {
+    let Ok(mut hangups) = signal(SignalKind::hangup()) else {
+        log::error!("daemon: event=no-hangup-signal");
+        return;
+    };
+    let mut stopped = std::pin::pin!(wait_for_signal());
+    loop {
+        tokio::select! {
+            stopped = stopped.as_mut() => {
+                if let Err(error) = stopped {
+                    log::error!("daemon: event=no-stop-signal error=\"{error}\"");
+                }
+                return;
+            }
+            _ = hangups.recv() => match Config::load(&settings) {
+                Ok(_) => log::info!("daemon: event=reload settings=valid"),
+                Err(error) => log::warn!("daemon: event=reload error=\"{error}\""),
+            },
+        }
+    }
+}
+
+async fn run_by_log(config: &Config) -> Result<(), Whatever> {
     let telemetry =
         TelemetryGuard::start(&config.telemetry).whatever_context("the daemon cannot start")?;
     let stop = Stop::new();
@@ -31,19 +105,22 @@
     let metrics = telemetry.metrics.clone();
     match &config.role {
         Role::Entry(entry) => {
-            let entry = Entry::start(&config, entry, clock, metrics, stop)
+            let entry = Entry::start(config, entry, clock, metrics, stop)
                 .await
                 .whatever_context("the entry cannot start")?;
             println!("entry http={} rpc={}", entry.http(), entry.rpc());
             entry.run().await;
         }
         Role::Agent(agent) => {
-            let agent = Agent::start(&config, agent, clock, metrics, stop)
+            let agent = Agent::start(config, agent, clock, metrics, stop)
                 .await
                 .whatever_context("the agent cannot start")?;
             println!("agent rpc={}", agent.rpc());
             agent.run().await;
         }
+        Role::PlatformEntry(_) | Role::PlatformAgent(_) => {
+            unreachable!("roles on the platform run without the log service")
+        }
     }
     Ok(())
 }
--- /dev/null
+++ b/crates/dispatch/src/executor.rs
@@ -0,0 +1,711 @@
+//! An agent's decisions: what starts at its endpoint and when, and what has become of it.
+//!
+//! Room is reserved before a start is sent and given back when its end is listed, or when the start
+//! can no longer be carried out. Answers a load of short bursts: what does not fit at once waits in
+//! the order of the latest useful start, and goes back to its entry when that moment has passed.
+
+mod held;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use cowslipwing_types::SortedMap;
+
+use crate::id::{EntryName, TaskName, TaskRun};
+use crate::place::EndpointStatus;
+use crate::room::{FreeRoom, Room};
+use crate::samples::{Samples, median};
+use crate::scheduler::{Fate, TaskEvent, TaskOrder};
+
+use held::{Held, Phase};
+
+/// Time after which a stop that was not confirmed is sent again.
+const STOP_AGAIN: Duration = Duration::from_millis(150);
+/// Silence of the endpoint after which it takes no new tasks.
+const SILENCE_LIMIT: Duration = Duration::from_millis(900);
+/// Slowness from which an endpoint is told apart from others of its kind; below it, wrong declared
+/// times explain the difference.
+const SLOW_RATIO: f64 = 1.6;
+/// Time after which the progress of a task tells of its speed.
+const PROGRESS_TIME: Duration = Duration::from_millis(30);
+/// Projected run time, relative to the expected one, from which the entry is told.
+const TELL_RATIO: f64 = 1.6;
+/// Least time between two such messages on one task.
+const TELL_AGAIN: Duration = Duration::from_millis(120);
+/// Rate at which the endpoint's clock runs at least, relative to this one.
+const CLOCK_RATE: f64 = 0.98;
+
+/// Settings of an executor.
+#[derive(Clone, Copy, Debug)]
+pub struct ExecutorSettings {
+    /// Time for which tasks of an entry are kept that is not heard from.
+    pub entry_lease: Duration,
+    /// Lease of whatever runs at the endpoint.
+    pub endpoint_lease: Duration,
+}
+
+/// What an endpoint says of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EndpointReport {
+    /// Its id.
+    pub id: CompactString,
+    /// Wall-clock millisecond of its start, which tells incarnations apart.
+    pub born: u64,
+    /// Its service.
+    pub service: CompactString,
+    /// Its size.
+    pub capacity: Room,
+    /// Its kind.
+    pub kind: CompactString,
+    /// Its rack.
+    pub rack: CompactString,
+    /// It is about to leave.
+    pub draining: bool,
+    /// Rises with each report of an incarnation.
+    pub sequence: u64,
+}
+
+/// A task that runs at the endpoint.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TaskProgress {
+    /// The run.
+    pub run: TaskRun,
+    /// Part of its work that is done.
+    pub percent: u32,
+}
+
+/// How a run has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HowEnded {
+    /// Done.
+    Done,
+    /// Failed, by its own fault or the endpoint's.
+    Failed,
+    /// Stopped, lapsed or broken off.
+    Cut,
+}
+
+/// A run that has ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TaskEnd {
+    /// Number of the end, from 1 in each incarnation.
+    pub number: u64,
+    /// The run.
+    pub run: TaskRun,
+    /// How it ended.
+    pub how: HowEnded,
+}
+
+/// What the endpoint lists.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listing {
+    /// When the listing was asked for.
+    pub asked_at: Duration,
+    /// The incarnation.
+    pub born: u64,
+    /// The endpoint's clock in milliseconds.
+    pub clock_ms: u64,
+    /// What runs.
+    pub running: Vec<TaskProgress>,
+    /// What has ended and was not acknowledged.
+    pub ended: Vec<TaskEnd>,
+}
+
+/// Why the endpoint did not start a task.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StartRefusal {
+    /// A higher fencing token was seen.
+    Fenced,
+    /// The run's number is not above one seen before.
+    OldRun,
+    /// The start came after its deadline.
+    TooLate,
+    /// There is no room.
+    NoRoom,
+    /// The endpoint is not healthy.
+    Unhealthy,
+    /// Another incarnation answers at the address.
+    OtherIncarnation,
+    /// The request was not understood.
+    Invalid,
+}
+
+/// What became of a start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StartOutcome {
+    /// It runs.
+    Started,
+    /// It does not run and will not.
+    Refused(StartRefusal),
+    /// Nothing is known.
+    NoReply,
+}
+
+/// A task order as received.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Order {
+    /// The entry that sent it.
+    pub entry: EntryName,
+    /// What it asks for.
+    pub order: TaskOrder,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ExecutorAction {
+    /// Start a task at the endpoint.
+    Start {
+        /// The run.
+        run: TaskRun,
+        /// What the endpoint is handed.
+        work: Arc<str>,
+        /// Until when the start may be carried out, on the endpoint's clock in milliseconds.
+        until_ms: u64,
+    },
+    /// Stop a run at the endpoint.
+    Stop(TaskRun),
+    /// Tell an entry of a task.
+    Tell(EntryName, TaskEvent),
+}
+
+/// The account that an agent keeps of its endpoint.
+pub struct Executor {
+    settings: ExecutorSettings,
+    endpoint: Option<EndpointReport>,
+    /// Incarnation that was listed last.
+    listed_born: Option<u64>,
+    listed_at: Option<Duration>,
+    /// A reading of the endpoint's clock, and when it was taken.
+    clock: Option<(Duration, u64)>,
+    /// Latest deadline handed to the endpoint.
+    leased_until_ms: u64,
+    last_acked: u64,
+    held: SortedMap<TaskName, Held>,
+    /// Runs at the endpoint that nobody here has asked for, and when their stop was last sent.
+    foreign: SortedMap<TaskRun, Duration>,
+    entries: SortedMap<EntryName, Duration>,
+    speeds: Samples,
+    failures: Samples,
+    leaving: bool,
+    actions: Vec<ExecutorAction>,
+}
+
+impl Executor {
+    /// Returns an executor that knows of no endpoint.
+    pub fn new(settings: ExecutorSettings) -> Self {
+        Self {
+            settings,
+            endpoint: None,
+            listed_born: None,
+            listed_at: None,
+            clock: None,
+            leased_until_ms: 0,
+            last_acked: 0,
+            held: SortedMap::new(),
+            foreign: SortedMap::new(),
+            entries: SortedMap::new(),
+            speeds: Samples::default(),
+            failures: Samples::default(),
+            leaving: false,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Returns what is to be done since the last call.
+    pub fn take_actions(&mut self) -> Vec<ExecutorAction> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns what the endpoint has told of itself.
+    pub fn endpoint(&self) -> Option<&EndpointReport> {
+        self.endpoint.as_ref()
+    }
+
+    /// Returns the number of the last end taken note of.
+    pub fn last_acked(&self) -> u64 {
+        self.last_acked
+    }
+
+    /// Tells whether anything is held here or may run at the endpoint.
+    pub fn is_idle(&self) -> bool {
+        self.held.is_empty() && self.foreign.is_empty()
+    }
+
+    /// Returns a deadline for what runs, on the endpoint's clock in milliseconds.
+    pub fn lease(&mut self, now: Duration) -> Option<u64> {
+        let (at, clock_ms) = self.clock?;
+        let elapsed = millis(now.saturating_sub(at).mul_f64(CLOCK_RATE));
+        let until_ms = clock_ms + elapsed + millis(self.settings.endpoint_lease);
+        self.leased_until_ms = self.leased_until_ms.max(until_ms);
+        Some(until_ms)
+    }
+
+    /// Takes in what the endpoint says of itself; returns whether it is news.
+    pub fn on_report(&mut self, now: Duration, report: EndpointReport) -> bool {
+        if let Some(known) = &self.endpoint {
+            let is_older = report.born < known.born
+                || (report.born == known.born && report.sequence < known.sequence);
+            if is_older {
+                return false;
+            }
+        }
+        if self.listed_born.is_some_and(|born| report.born < born) {
+            return false;
+        }
+        let is_new = self
+            .endpoint
+            .as_ref()
+            .is_none_or(|known| known.born != report.born || known.draining != report.draining);
+        if self.endpoint.as_ref().is_some_and(|known| known.born != report.born) {
+            self.on_reborn();
+        }
+        let draining = report.draining;
+        self.endpoint = Some(report);
+        if draining {
+            self.bounce_queued();
+        }
+        self.start_due(now);
+        is_new
+    }
+
+    /// Takes in that the endpoint has left.
+    pub fn on_left(&mut self, id: &str) {
+        if self.endpoint.as_ref().is_some_and(|known| known.id == id) {
+            self.endpoint = None;
+            self.bounce_queued();
+        }
+    }
+
+    /// Takes no new tasks any more, and gives back what has not started.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+        self.bounce_queued();
+    }
+
+    /// What an earlier incarnation of the endpoint ran is gone.
+    fn on_reborn(&mut self) {
+        self.listed_born = None;
+        self.listed_at = None;
+        self.clock = None;
+        self.leased_until_ms = 0;
+        self.last_acked = 0;
+        self.foreign = SortedMap::new();
+        self.speeds = Samples::default();
+        self.failures = Samples::default();
+        self.lose_started();
+    }
+
+    fn lose_started(&mut self) {
+        let started = |held: &Held| held.phase != Phase::Queued;
+        for name in self.names(started) {
+            self.finish(&name, Fate::Stopped);
+        }
+    }
+
+    fn bounce_queued(&mut self) {
+        for name in self.names(|held| held.phase == Phase::Queued) {
+            self.finish(&name, Fate::NotStarted);
+        }
+    }
+
+    fn names<F>(&self, pass: F) -> Vec<TaskName>
+    where
+        F: Fn(&Held) -> bool,
+    {
+        let found = self.held.iter().filter(|(_, held)| pass(held));
+        found.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Forgets a task and tells its entry.
+    fn finish(&mut self, name: &TaskName, fate: Fate) {
+        let Some(held) = self.held.remove(name) else {
+            return;
+        };
+        let run = TaskRun { task: name.clone(), run: held.run };
+        self.actions.push(ExecutorAction::Tell(held.entry, TaskEvent { run, fate }));
+    }
+
+    /// Takes in a sign of life of an entry, which had heard this agent at `heard`.
+    pub fn on_entry_heard(&mut self, entry: &EntryName, heard: Duration) {
+        let until = heard + self.settings.entry_lease;
+        let known = self.entries.get_or_insert_with(entry.clone(), || until);
+        *known = until.max(*known);
+    }
+
+    /// Stops what an entry that is known to be gone has started.
+    pub fn on_entry_gone(&mut self, now: Duration, entry: &EntryName) {
+        self.entries.remove(entry);
+        for name in self.names(|held| held.entry == *entry) {
+            self.recall_task(now, &name);
+        }
+    }
+
+    /// Takes in an order.
+    pub fn on_order(&mut self, now: Duration, received: Order) {
+        let Order { entry, order } = received;
+        let name = order.run.task.clone();
+        let refuses = self.leaving
+            || self.held.contains(&name)
+            || self
+                .endpoint
+                .as_ref()
+                .is_none_or(|known| known.draining || !known.capacity.holds(order.need))
+            || !self.is_leased(now, &entry);
+        if refuses {
+            let event = TaskEvent { run: order.run, fate: Fate::NotStarted };
+            self.actions.push(ExecutorAction::Tell(entry, event));
+            return;
+        }
+        self.held.insert(name, Held::new(now, entry, order));
+        self.start_due(now);
+    }
+
+    fn is_leased(&self, now: Duration, entry: &EntryName) -> bool {
+        self.entries.get(entry).is_some_and(|until| now < *until)
+    }
+
+    /// Takes a run back, or stops it.
+    pub fn on_recall(&mut self, now: Duration, entry: &EntryName, run: &TaskRun) {
+        let of_entry = |held: &Held| held.entry == *entry && held.run == run.run;
+        if self.held.get(&run.task).is_some_and(of_entry) {
+            self.recall_task(now, &run.task);
+        }
+    }
+
+    fn recall_task(&mut self, now: Duration, name: &TaskName) {
+        let Some(held) = self.held.get_mut(name) else {
+            return;
+        };
+        if held.phase == Phase::Queued {
+            self.finish(name, Fate::NotStarted);
+            return;
+        }
+        if held.stop_sent.is_none() {
+            held.stop_sent = Some(now);
+            let run = TaskRun { task: name.clone(), run: held.run };
+            self.actions.push(ExecutorAction::Stop(run));
+        }
+    }
+
+    /// Starts what fits, the most urgent first, and gives back what cannot start in time.
+    fn start_due(&mut self, now: Duration) {
+        for name in self.names(|held| held.phase == Phase::Queued && held.is_overdue(now)) {
+            self.finish(&name, Fate::NotStarted);
+        }
+        if !self.may_start(now) {
+            return;
+        }
+        let mut queued: Vec<(bool, Duration, TaskName)> = self
+            .held
+            .iter()
+            .filter(|(_, held)| held.phase == Phase::Queued)
+            .map(|(name, held)| (held.late, held.start_by, name.clone()))
+            .collect();
+        if queued.is_empty() {
+            return;
+        }
+        queued.sort();
+        let mut free = self.reserved_free();
+        for (_, _, name) in queued {
+            self.try_start(now, &name, &mut free);
+        }
+    }
+
+    fn may_start(&self, now: Duration) -> bool {
+        let listed = self.listed_at.is_some_and(|at| now < at + SILENCE_LIMIT);
+        let takes = self.endpoint.as_ref().is_some_and(|known| !known.draining);
+        listed && takes && self.foreign.is_empty() && !self.leaving
+    }
+
+    fn try_start(&mut self, now: Duration, name: &TaskName, free: &mut FreeRoom) {
+        let Some(held) = self.held.get(name) else {
+            return;
+        };
+        if !free.fits(held.need) || self.is_crowded(name, held.most_here) {
+            return;
+        }
+        if !self.is_leased(now, &held.entry) {
+            return;
+        }
+        let Some(until_ms) = self.lease(now) else {
+            return;
+        };
+        let Some(held) = self.held.get_mut(name) else {
+            return;
+        };
+        held.phase = Phase::Starting;
+        held.until_ms = until_ms;
+        held.started_at = now;
+        free.take(held.need);
+        let run = TaskRun { task: name.clone(), run: held.run };
+        self.actions.push(ExecutorAction::Start { run, work: held.work.clone(), until_ms });
+    }
+
+    /// Tells whether as many tasks of the step run here as may.
+    fn is_crowded(&self, name: &TaskName, most: u32) -> bool {
+        let same_step = |other: &TaskName| other.request == name.request && other.step == name.step;
+        let started = |held: &Held| held.phase != Phase::Queued;
+        let here = self.held.iter().filter(|(other, held)| same_step(other) && started(held));
+        most > 0 && here.count() >= most as usize
+    }
+
+    /// Returns the room that no started task takes.
+    fn reserved_free(&self) -> FreeRoom {
+        let capacity = self.endpoint.as_ref().map(|known| known.capacity).unwrap_or_default();
+        let mut free = FreeRoom::of(capacity);
+        for held in self.held.values().filter(|held| held.phase != Phase::Queued) {
+            free.take(held.need);
+        }
+        free
+    }
+
+    /// Takes in what became of a start.
+    pub fn on_start_reply(&mut self, now: Duration, run: &TaskRun, outcome: StartOutcome) {
+        let Some(held) = self.held.get_mut(&run.task).filter(|held| held.run == run.run) else {
+            return;
+        };
+        match outcome {
+            StartOutcome::Started if held.phase == Phase::Starting => {
+                held.phase = Phase::Running;
+                held.confirmed_at = Some(now);
+            }
+            StartOutcome::Started => {}
+            StartOutcome::NoReply => {
+                held.in_doubt = true;
+                self.recall_task(now, &run.task);
+            }
+            StartOutcome::Refused(refusal) => self.on_refused(now, run, refusal),
+        }
+        self.start_due(now);
+    }
+
+    fn on_refused(&mut self, now: Duration, run: &TaskRun, refusal: StartRefusal) {
+        match refusal {
+            StartRefusal::OldRun => self.finish(&run.task, Fate::StaleRun),
+            StartRefusal::Unhealthy => {
+                self.failures.add(now, 1.0);
+                self.finish(&run.task, Fate::NotStarted);
+            }
+            StartRefusal::OtherIncarnation => {
+                self.finish(&run.task, Fate::NotStarted);
+                self.listed_at = None;
+            }
+            StartRefusal::Fenced
+            | StartRefusal::TooLate
+            | StartRefusal::NoRoom
+            | StartRefusal::Invalid => self.finish(&run.task, Fate::NotStarted),
+        }
+    }
+
+    /// Takes in that a stop was carried out.
+    pub fn on_stopped(&mut self, now: Duration, run: &TaskRun) {
+        if let Some(held) = self.held.get_mut(&run.task).filter(|held| held.run == run.run) {
+            held.stop_confirmed = Some(now);
+        }
+    }
+
+    /// Takes in what the endpoint lists.
+    pub fn on_listing(&mut self, now: Duration, listing: &Listing) {
+        if self.listed_born.is_some_and(|born| born > listing.born) {
+            return;
+        }
+        if self.listed_born.is_some_and(|born| born != listing.born) {
+            self.on_reborn();
+        }
+        self.listed_born = Some(listing.born);
+        self.listed_at = Some(now);
+        self.clock = Some((now, listing.clock_ms));
+        self.leased_until_ms = self.leased_until_ms.max(listing.clock_ms);
+        for end in &listing.ended {
+            self.on_end(now, end);
+        }
+        self.foreign.retain(|run, _| listing.running.iter().any(|found| found.run == *run));
+        for progress in &listing.running {
+            self.on_progress(now, progress);
+        }
+        for name in self.names(|held| held.phase != Phase::Queued) {
+            self.settle(now, &name, listing);
+        }
+        self.start_due(now);
+    }
+
+    fn on_end(&mut self, now: Duration, end: &TaskEnd) {
+        if end.number <= self.last_acked {
+            return;
+        }
+        self.last_acked = end.number;
+        self.foreign.remove(&end.run);
+        let Some(held) = self.held.get(&end.run.task).filter(|held| held.run == end.run.run) else {
+            return;
+        };
+        let took = now.saturating_sub(held.started_at);
+        let expected = held.expected.as_secs_f64().max(0.001);
+        let fate = match end.how {
+            HowEnded::Done => {
+                self.speeds.add(now, took.as_secs_f64() / expected);
+                self.failures.add(now, 0.0);
+                Fate::Done(took)
+            }
+            HowEnded::Failed => {
+                self.failures.add(now, 1.0);
+                Fate::Failed
+            }
+            HowEnded::Cut => Fate::Stopped,
+        };
+        self.finish(&end.run.task, fate);
+    }
+
+    fn on_progress(&mut self, now: Duration, progress: &TaskProgress) {
+        let run = &progress.run;
+        let Some(held) = self.held.get_mut(&run.task).filter(|held| held.run == run.run) else {
+            if !self.foreign.contains(run) {
+                self.foreign.insert(run.clone(), now);
+                self.actions.push(ExecutorAction::Stop(run.clone()));
+            }
+            return;
+        };
+        if held.phase == Phase::Starting {
+            held.phase = Phase::Running;
+            held.confirmed_at = Some(now);
+        }
+        held.percent = progress.percent;
+        let Some(left) = held.slow_left(now, PROGRESS_TIME, TELL_RATIO) else {
+            return;
+        };
+        if held.told_at.is_some_and(|at| now < at + TELL_AGAIN) {
+            return;
+        }
+        held.told_at = Some(now);
+        let event = TaskEvent { run: run.clone(), fate: Fate::Slow(left) };
+        self.actions.push(ExecutorAction::Tell(held.entry.clone(), event));
+    }
+
+    /// Settles a started task that is not listed, where it can no longer run.
+    fn settle(&mut self, now: Duration, name: &TaskName, listing: &Listing) {
+        let Some(held) = self.held.get(name) else {
+            return;
+        };
+        let same = |found: &TaskProgress| found.run.task == *name && found.run.run == held.run;
+        if listing.running.iter().any(same) {
+            return;
+        }
+        let asked_after = |moment: Option<Duration>| moment.is_some_and(|at| at < listing.asked_at);
+        let vanished = held.phase == Phase::Running && asked_after(held.confirmed_at);
+        let stopped = asked_after(held.stop_confirmed);
+        let expired = listing.clock_ms > held.until_ms
+            && now > held.started_at
+            && listing.asked_at > held.started_at
+            && held.phase == Phase::Starting;
+        if vanished {
+            self.finish(name, Fate::Stopped);
+        } else if held.phase == Phase::Starting && (stopped || expired) {
+            self.finish(name, Fate::NotStarted);
+        }
+    }
+
+    /// Takes in that time has passed.
+    pub fn on_tick(&mut self, now: Duration) {
+        self.stop_unleased(now);
+        self.lose_lapsed(now);
+        self.send_stops_again(now);
+        self.start_due(now);
+    }
+
+    fn stop_unleased(&mut self, now: Duration) {
+        let lapsed: Vec<EntryName> = self
+            .entries
+            .iter()
+            .filter(|(_, until)| now >= **until)
+            .map(|(entry, _)| entry.clone())
+            .collect();
+        for entry in lapsed {
+            self.on_entry_gone(now, &entry);
+        }
+    }
+
+    /// Gives up what the endpoint no longer runs, since its lease has lapsed.
+    fn lose_lapsed(&mut self, now: Duration) {
+        let Some((at, clock_ms)) = self.clock else {
+            return;
+        };
+        let elapsed = millis(now.saturating_sub(at).mul_f64(CLOCK_RATE));
+        if clock_ms + elapsed > self.leased_until_ms {
+            self.lose_started();
+        }
+    }
+
+    fn send_stops_again(&mut self, now: Duration) {
+        for (name, held) in self.held.iter_mut() {
+            let unconfirmed = held.stop_confirmed.is_none();
+            if unconfirmed && held.stop_sent.is_some_and(|at| now >= at + STOP_AGAIN) {
+                held.stop_sent = Some(now);
+                let run = TaskRun { task: name.clone(), run: held.run };
+                self.actions.push(ExecutorAction::Stop(run));
+            }
+        }
+        for (run, sent_at) in self.foreign.iter_mut() {
+            if now >= *sent_at + STOP_AGAIN {
+                *sent_at = now;
+                self.actions.push(ExecutorAction::Stop(run.clone()));
+            }
+        }
+    }
+
+    /// Returns the runs that are held for an entry.
+    pub fn held_for(&self, entry: &EntryName) -> Vec<TaskRun> {
+        let found = self.held.iter().filter(|(_, held)| held.entry == *entry);
+        found.map(|(name, held)| TaskRun { task: name.clone(), run: held.run }).collect()
+    }
+
+    /// Returns the number of tasks that may run.
+    pub fn started(&self) -> usize {
+        self.held.values().filter(|held| held.phase != Phase::Queued).count()
+    }
+
+    /// Returns what entries are told of the endpoint.
+    pub fn status(&self, now: Duration) -> EndpointStatus {
+        let Some(known) = &self.endpoint else {
+            return EndpointStatus::default();
+        };
+        let mut free = FreeRoom::of(known.capacity);
+        for held in self.held.values() {
+            free.take(held.need);
+        }
+        let slowness = self.slowness(now);
+        let (failing, seen) = self.failures.mean(now);
+        EndpointStatus {
+            usable: self.may_start(now),
+            service: known.service.clone(),
+            kind: known.kind.clone(),
+            rack: known.rack.clone(),
+            capacity: known.capacity,
+            free,
+            turnover: self.turnover(now, slowness),
+            slowness,
+            // One failure among few is no sign yet.
+            failing: if seen < 3 { failing / 3.0 } else { failing },
+            orders_seen: 0,
+        }
+    }
+
+    fn slowness(&self, now: Duration) -> f64 {
+        let mut seen: Vec<f64> = self.speeds.recent(now).collect();
+        let running = self.held.values().filter(|held| held.phase == Phase::Running);
+        seen.extend(running.filter_map(|held| held.pace(now, PROGRESS_TIME)));
+        let ratio = median(seen).unwrap_or(1.0);
+        if ratio < SLOW_RATIO { 1.0 } else { ratio }
+    }
+
+    fn turnover(&self, now: Duration, slowness: f64) -> Duration {
+        let started = self.held.values().filter(|held| held.phase != Phase::Queued);
+        let (sum, count) = started.fold((Duration::ZERO, 0u32), |(sum, count), held| {
+            (sum + held.remaining(now, slowness), count + 1)
+        });
+        sum / count.max(1)
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/dispatch/src/route.rs
@@ -0,0 +1,90 @@
+//! Which queue a request belongs to.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use crate::job::Terms;
+
+/// A queue and the requests that belong to it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// The queue's name.
+    pub name: CompactString,
+    /// Host that requests name.
+    pub host: CompactString,
+    /// Beginning of the path.
+    pub prefix: CompactString,
+    /// Service whose endpoints run its jobs.
+    pub service: CompactString,
+    /// Longest time a request may take.
+    pub timeout: Option<Duration>,
+    /// What its contract says.
+    pub terms: Terms,
+}
+
+/// One version of the configuration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RouteTable {
+    version: u64,
+    /// In the order of hosts, then prefixes.
+    routes: Vec<Route>,
+    max_body_bytes: usize,
+}
+
+impl RouteTable {
+    /// Returns a table.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cowslipwing_dispatch::{Route, RouteTable, Terms};
+    /// use std::time::Duration;
+    ///
+    /// let terms =
+    ///     Terms { max_attempts: 3, stretch: 1.6, target: Duration::ZERO, priority: 0 };
+    /// let route = |prefix: &str| Route {
+    ///     name: prefix.into(),
+    ///     host: "desk.example".into(),
+    ///     prefix: prefix.into(),
+    ///     service: "desk".into(),
+    ///     timeout: None,
+    ///     terms,
+    /// };
+    /// let table = RouteTable::new(7, vec![route("/q/"), route("/q/hold/")], 1024);
+    /// assert_eq!(table.find("desk.example", "/q/hold/1").unwrap().prefix, "/q/hold/");
+    /// assert!(table.find("desk.example", "/other").is_none());
+    /// ```
+    pub fn new(version: u64, mut routes: Vec<Route>, max_body_bytes: usize) -> Self {
+        routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
+        Self { version, routes, max_body_bytes }
+    }
+
+    /// Returns the version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the largest body of a request, in bytes.
+    pub fn max_body_bytes(&self) -> usize {
+        self.max_body_bytes
+    }
+
+    /// Returns the number of routes.
+    pub fn len(&self) -> usize {
+        self.routes.len()
+    }
+
+    /// Tells whether there is no route.
+    pub fn is_empty(&self) -> bool {
+        self.routes.is_empty()
+    }
+
+    /// Returns the route with the longest prefix that a path begins with.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+        let from = self.routes.partition_point(|route| route.host.as_str() < host);
+        let of_host = self.routes[from..].iter().take_while(|route| route.host == host);
+        let matching = of_host.filter(|route| path.starts_with(route.prefix.as_str()));
+        matching.max_by_key(|route| route.prefix.len())
+    }
+}
--- /dev/null
+++ b/crates/node/src/convert.rs
@@ -0,0 +1,110 @@
+//! Messages between the system's own processes, from and to the types that decisions use.
+
+use std::time::Duration;
+
+use cowslipwing_dispatch::{EndpointStatus, Fate, FreeRoom, Room, TaskEvent, TaskOrder};
+use cowslipwing_proto as proto;
+
+use crate::wire_ids::{run_of, run_to};
+
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn millis32(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn from_millis32(millis: u32) -> Duration {
+    Duration::from_millis(u64::from(millis))
+}
+
+pub(crate) fn order_to(order: &TaskOrder) -> proto::TaskOrder {
+    proto::TaskOrder {
+        run: Some(run_to(&order.run)),
+        work: order.work.to_string(),
+        cpu_millis: order.need.cpu_millis,
+        memory_mb: order.need.memory_mb,
+        gpus: order.need.gpus,
+        expected_ms: millis32(order.expected),
+        start_within_ms: millis32(order.start_within),
+        give_up_ms: millis32(order.give_up),
+        most_here: order.most_here,
+    }
+}
+
+pub(crate) fn order_of(wire: proto::TaskOrder) -> Option<TaskOrder> {
+    Some(TaskOrder {
+        run: run_of(wire.run.as_ref()?)?,
+        work: wire.work.into(),
+        need: Room { cpu_millis: wire.cpu_millis, memory_mb: wire.memory_mb, gpus: wire.gpus },
+        expected: from_millis32(wire.expected_ms),
+        start_within: from_millis32(wire.start_within_ms),
+        give_up: from_millis32(wire.give_up_ms),
+        most_here: wire.most_here,
+    })
+}
+
+pub(crate) fn event_to(event: &TaskEvent) -> proto::TaskEvent {
+    let (fate, time) = match event.fate {
+        Fate::NotStarted => (proto::TaskFate::NotStarted, Duration::ZERO),
+        Fate::StaleRun => (proto::TaskFate::StaleRun, Duration::ZERO),
+        Fate::Done(took) => (proto::TaskFate::Done, took),
+        Fate::Failed => (proto::TaskFate::Failed, Duration::ZERO),
+        Fate::Stopped => (proto::TaskFate::Stopped, Duration::ZERO),
+        Fate::Slow(left) => (proto::TaskFate::Slow, left),
+    };
+    proto::TaskEvent { run: Some(run_to(&event.run)), fate: fate.into(), millis: millis32(time) }
+}
+
+pub(crate) fn event_of(wire: &proto::TaskEvent) -> Option<TaskEvent> {
+    let time = from_millis32(wire.millis);
+    let fate = match wire.fate() {
+        proto::TaskFate::Unspecified => return None,
+        proto::TaskFate::NotStarted => Fate::NotStarted,
+        proto::TaskFate::StaleRun => Fate::StaleRun,
+        proto::TaskFate::Done => Fate::Done(time),
+        proto::TaskFate::Failed => Fate::Failed,
+        proto::TaskFate::Stopped => Fate::Stopped,
+        proto::TaskFate::Slow => Fate::Slow(time),
+    };
+    Some(TaskEvent { run: run_of(wire.run.as_ref()?)?, fate })
+}
+
+pub(crate) fn status_to(status: &EndpointStatus) -> proto::EndpointStatus {
+    proto::EndpointStatus {
+        usable: status.usable,
+        service: status.service.to_string(),
+        kind: status.kind.to_string(),
+        rack: status.rack.to_string(),
+        cpu_millis: status.capacity.cpu_millis,
+        memory_mb: status.capacity.memory_mb,
+        gpus: status.capacity.gpus,
+        free_cpu_millis: status.free.cpu_millis,
+        free_memory_mb: status.free.memory_mb,
+        free_gpus: status.free.gpus,
+        turnover_ms: millis32(status.turnover),
+        slowness_percent: (status.slowness * 100.0) as u32,
+        failing_percent: (status.failing * 100.0) as u32,
+        orders_seen: status.orders_seen,
+    }
+}
+
+pub(crate) fn status_of(wire: &proto::EndpointStatus) -> EndpointStatus {
+    EndpointStatus {
+        usable: wire.usable,
+        service: wire.service.as_str().into(),
+        kind: wire.kind.as_str().into(),
+        rack: wire.rack.as_str().into(),
+        capacity: Room { cpu_millis: wire.cpu_millis, memory_mb: wire.memory_mb, gpus: wire.gpus },
+        free: FreeRoom {
+            cpu_millis: wire.free_cpu_millis,
+            memory_mb: wire.free_memory_mb,
+            gpus: wire.free_gpus,
+        },
+        turnover: from_millis32(wire.turnover_ms),
+        slowness: f64::from(wire.slowness_percent) / 100.0,
+        failing: f64::from(wire.failing_percent) / 100.0,
+        orders_seen: wire.orders_seen,
+    }
+}
--- a/crates/schema-gen/src/main.rs
+++ b/crates/schema-gen/src/main.rs
@@ -6,11 +6,17 @@
 
 use snafu::{ResultExt, Whatever};
 
-const FILES: [&str; 5] =
-    ["records.proto", "api.proto", "peers.proto", "platform.proto", "settings.proto"];
+const FILES: [&str; 6] = [
+    "records.proto",
+    "api.proto",
+    "peers.proto",
+    "platform.proto",
+    "settings.proto",
+    "dispatch.proto",
+];
 
 /// Messages that callers and operators write as JSON or YAML.
-const WRITTEN_BY_HAND: [&str; 9] = [
+const WRITTEN_BY_HAND: [&str; 10] = [
     "Contract",
     "Task",
     "JobSubmission",
@@ -20,6 +26,7 @@
     "LimitSettings",
     "LeaseSettings",
     "TelemetrySettings",
+    "PlatformSettings",
 ];
 
 /// Messages that are only shown as JSON.
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -13,7 +13,8 @@
 
 use crate::error::{BadValueSnafu, MissingSnafu, SettingsError};
 use crate::model::{
-    AgentConfig, Config, EntryConfig, LeaseConfig, LimitConfig, Role, Telemetry, Traces,
+    AgentConfig, Config, EntryConfig, LeaseConfig, LimitConfig, PlatformAgentConfig,
+    PlatformConfig, PlatformEntryConfig, Role, Telemetry, Traces,
 };
 
 /// Most tasks that a job may have.
@@ -30,7 +31,14 @@
 
     fn try_from(raw: proto::Settings) -> Checked<Self> {
         let site = read("site", &raw.site, "the name of this data centre")?;
+        let platform = raw.platform;
         let role = match raw.role.as_str() {
+            "entry" if platform.is_some() => {
+                Role::PlatformEntry(check_platform_entry(&platform.unwrap_or_default())?)
+            }
+            "agent" if platform.is_some() => {
+                Role::PlatformAgent(check_platform_agent(&platform.unwrap_or_default())?)
+            }
             "entry" => Role::Entry(check_entry(raw.entry.unwrap_or_default())?),
             "agent" => Role::Agent(check_agent(raw.agent.unwrap_or_default())?),
             "" => return MissingSnafu { key: "role", remedy: "entry or agent" }.fail(),
@@ -72,6 +80,48 @@
     })
 }
 
+fn check_platform_entry(raw: &proto::PlatformSettings) -> Checked<PlatformEntryConfig> {
+    Ok(PlatformEntryConfig {
+        common: check_platform(raw)?,
+        callers: address("platform.callers", &raw.callers)?,
+        ready: address("platform.ready", &raw.ready)?,
+    })
+}
+
+fn check_platform_agent(raw: &proto::PlatformSettings) -> Checked<PlatformAgentConfig> {
+    Ok(PlatformAgentConfig {
+        common: check_platform(raw)?,
+        announcements: address("platform.announcements", &raw.announcements)?,
+        endpoint: address("platform.endpoint", &raw.endpoint)?,
+    })
+}
+
+fn check_platform(raw: &proto::PlatformSettings) -> Checked<PlatformConfig> {
+    let remedy = "the port of entries for agents";
+    let peer_port = port("platform.peer_port", raw.peer_port)?;
+    let peer_port = peer_port.context(MissingSnafu { key: "platform.peer_port", remedy })?;
+    let seeds: Checked<Vec<SocketAddr>> =
+        raw.seeds.iter().map(|seed| address("platform.seeds", seed)).collect();
+    Ok(PlatformConfig {
+        node: read("platform.node", &raw.node, "a name that no other VM has")?,
+        ip: read("platform.ip", &raw.ip, "the address of this VM")?,
+        seeds: seeds?.into_iter().map(|seed| SocketAddr::new(seed.ip(), peer_port)).collect(),
+        peer_port,
+        metrics_port: port("platform.metrics_port", raw.metrics_port)?,
+        store: address("platform.store", &raw.store)?,
+        longest_lease: duration("platform.longest_lease", &raw.longest_lease, "1s")?,
+        stop_grace: duration("platform.stop_grace", &raw.stop_grace, "6s")?,
+    })
+}
+
+fn port(key: &'static str, given: u32) -> Checked<Option<u16>> {
+    match u16::try_from(given) {
+        Ok(0) => Ok(None),
+        Ok(port) => Ok(Some(port)),
+        Err(_) => bad(key, given, "give a port below 65536"),
+    }
+}
+
 fn check_limits(raw: proto::LimitSettings) -> Checked<LimitConfig> {
     let tasks_per_job = count("limits.tasks_per_job", raw.tasks_per_job, MAX_TASKS_PER_JOB)?;
     if tasks_per_job > MAX_TASKS_PER_JOB {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub use error::SettingsError;
 pub use model::{
-    AgentConfig, Config, EntryConfig, LeaseConfig, LimitConfig, Role, Telemetry, Traces,
+    AgentConfig, Config, EntryConfig, LeaseConfig, LimitConfig, PlatformAgentConfig,
+    PlatformConfig, PlatformEntryConfig, Role, Telemetry, Traces,
 };
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -1,6 +1,6 @@
 //! Checked settings.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -34,6 +34,53 @@
     Entry(EntryConfig),
     /// Runs tasks beside an endpoint.
     Agent(AgentConfig),
+    /// Takes submissions on the platform.
+    PlatformEntry(PlatformEntryConfig),
+    /// Runs tasks beside an endpoint of the platform.
+    PlatformAgent(PlatformAgentConfig),
+}
+
+/// Settings of a process on the platform.
+#[derive(Clone, Debug)]
+pub struct PlatformConfig {
+    /// Name of this VM.
+    pub node: EndpointName,
+    /// Address of this VM.
+    pub ip: IpAddr,
+    /// Addresses of some entries for agents and other entries.
+    pub seeds: Vec<SocketAddr>,
+    /// Port of entries for agents and other entries.
+    pub peer_port: u16,
+    /// Port on which metrics are served.
+    pub metrics_port: Option<u16>,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Longest lease that an endpoint grants.
+    pub longest_lease: Duration,
+    /// Time between the signal to stop and the end of the process.
+    pub stop_grace: Duration,
+}
+
+/// Settings of an entry on the platform.
+#[derive(Clone, Debug)]
+pub struct PlatformEntryConfig {
+    /// What every process has.
+    pub common: PlatformConfig,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address at which the platform asks whether it is ready.
+    pub ready: SocketAddr,
+}
+
+/// Settings of an agent on the platform.
+#[derive(Clone, Debug)]
+pub struct PlatformAgentConfig {
+    /// What every process has.
+    pub common: PlatformConfig,
+    /// Address at which its endpoint announces itself.
+    pub announcements: SocketAddr,
+    /// Address of its endpoint.
+    pub endpoint: SocketAddr,
 }
 
 /// Settings of an entry.
--- a/crates/types/src/clock.rs
+++ b/crates/types/src/clock.rs
@@ -3,6 +3,8 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
+
 /// Tells the time.
 pub trait Clock: Send + Sync {
     /// Returns the monotonic time.
@@ -10,6 +12,9 @@
 
     /// Returns the wall-clock time, which other VMs share within the stated skew.
     fn wall(&self) -> SystemTime;
+
+    /// Returns the time since the VM booted, which goes on while the VM is suspended.
+    fn since_boot(&self) -> Duration;
 }
 
 /// The clock of the operating system.
@@ -24,6 +29,12 @@
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
+
+    fn since_boot(&self) -> Duration {
+        // The call fails only for clocks that Linux does not have.
+        let time = clock_gettime(ClockId::CLOCK_BOOTTIME);
+        time.map(Duration::from).expect("Linux has a clock of the time since boot")
+    }
 }
 
 /// A clock that moves only when told to.
@@ -75,6 +86,10 @@
     fn wall(&self) -> SystemTime {
         UNIX_EPOCH + self.elapsed()
     }
+
+    fn since_boot(&self) -> Duration {
+        self.elapsed()
+    }
 }
 
 /// Converts a wall-clock time to milliseconds since the Unix epoch; earlier times become 0.
