--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -13,20 +13,19 @@
 use cowslipwing_types::SortedMap;
 
 use crate::id::{EntryName, TaskName, TaskRun};
-use crate::place::EndpointStatus;
+use crate::place::{EndpointStatus, QueuedCpu};
 use crate::room::{FreeRoom, Room};
-use crate::samples::{Samples, median};
+use crate::samples::{Samples, Speed};
 use crate::scheduler::{Fate, TaskEvent, TaskOrder};
 
 use held::{Held, Phase};
 
 /// Time after which a stop that was not confirmed is sent again.
-const STOP_AGAIN: Duration = Duration::from_millis(150);
+const STOP_AGAIN: Duration = Duration::from_millis(40);
+/// Time in which a sound endpoint confirms a start or lists it, many times over.
+const START_ANSWER: Duration = Duration::from_millis(30);
 /// Silence of the endpoint after which it takes no new tasks.
 const SILENCE_LIMIT: Duration = Duration::from_millis(900);
-/// Slowness from which an endpoint is told apart from others of its kind; below it, wrong declared
-/// times explain the difference.
-const SLOW_RATIO: f64 = 1.6;
 /// Time after which the progress of a task tells of its speed.
 const PROGRESS_TIME: Duration = Duration::from_millis(30);
 /// Projected run time, relative to the expected one, from which the entry is told.
@@ -185,7 +184,7 @@
     /// Runs at the endpoint that nobody here has asked for, and when their stop was last sent.
     foreign: SortedMap<TaskRun, Duration>,
     entries: SortedMap<EntryName, Duration>,
-    speeds: Samples,
+    speed: Speed,
     failures: Samples,
     leaving: bool,
     actions: Vec<ExecutorAction>,
@@ -205,7 +204,7 @@
             held: SortedMap::new(),
             foreign: SortedMap::new(),
             entries: SortedMap::new(),
-            speeds: Samples::default(),
+            speed: Speed::default(),
             failures: Samples::default(),
             leaving: false,
             actions: Vec::new(),
@@ -291,7 +290,7 @@
         self.leased_until_ms = 0;
         self.last_acked = 0;
         self.foreign = SortedMap::new();
-        self.speeds = Samples::default();
+        self.speed = Speed::default();
         self.failures = Samples::default();
         self.lose_started();
     }
@@ -540,10 +539,10 @@
             return;
         };
         let took = now.saturating_sub(held.started_at);
-        let expected = held.expected.as_secs_f64().max(0.001);
+        let declared = held.declared;
         let fate = match end.how {
             HowEnded::Done => {
-                self.speeds.add(now, took.as_secs_f64() / expected);
+                self.speed.observe(now, declared, took);
                 self.failures.add(now, 0.0);
                 Fate::Done(took)
             }
@@ -606,12 +605,22 @@
 
     /// Takes in that time has passed.
     pub fn on_tick(&mut self, now: Duration) {
+        self.stop_unanswered(now);
         self.stop_unleased(now);
         self.lose_lapsed(now);
         self.send_stops_again(now);
         self.start_due(now);
     }
 
+    /// Rules out starts that were not answered and are not listed, so that the tasks can go elsewhere.
+    fn stop_unanswered(&mut self, now: Duration) {
+        let unanswered =
+            |held: &Held| held.phase == Phase::Starting && now >= held.started_at + START_ANSWER;
+        for name in self.names(unanswered) {
+            self.recall_task(now, &name);
+        }
+    }
+
     fn stop_unleased(&mut self, now: Duration) {
         let lapsed: Vec<EntryName> = self
             .entries
@@ -668,10 +677,7 @@
         let Some(known) = &self.endpoint else {
             return EndpointStatus::default();
         };
-        let mut free = FreeRoom::of(known.capacity);
-        for held in self.held.values() {
-            free.take(held.need);
-        }
+        let free = self.reserved_free();
         let slowness = self.slowness(now);
         let (failing, seen) = self.failures.mean(now);
         EndpointStatus {
@@ -682,6 +688,7 @@
             capacity: known.capacity,
             free,
             turnover: self.turnover(now, slowness),
+            queued: self.queued(now),
             slowness,
             // One failure among few is no sign yet.
             failing: if seen < 3 { failing / 3.0 } else { failing },
@@ -689,12 +696,22 @@
         }
     }
 
+    /// Returns run times here relative to the declared ones, as tasks that have ended and those that
+    /// run tell.
     fn slowness(&self, now: Duration) -> f64 {
-        let mut seen: Vec<f64> = self.speeds.recent(now).collect();
         let running = self.held.values().filter(|held| held.phase == Phase::Running);
-        seen.extend(running.filter_map(|held| held.pace(now, PROGRESS_TIME)));
-        let ratio = median(seen).unwrap_or(1.0);
-        if ratio < SLOW_RATIO { 1.0 } else { ratio }
+        let paces = running.filter_map(|held| held.pace(now, PROGRESS_TIME)).collect();
+        self.speed.ratio(now, paces)
+    }
+
+    /// Returns the processors that queued tasks ask for, by the latest useful start.
+    fn queued(&self, now: Duration) -> QueuedCpu {
+        let mut queued = QueuedCpu::default();
+        for held in self.held.values().filter(|held| held.phase == Phase::Queued) {
+            let slack = held.start_by.saturating_sub(now);
+            queued.add((!held.late).then_some(slack), held.need.cpu_millis);
+        }
+        queued
     }
 
     fn turnover(&self, now: Duration, slowness: f64) -> Duration {
--- a/crates/dispatch/src/executor/held.rs
+++ b/crates/dispatch/src/executor/held.rs
@@ -12,6 +12,9 @@
 /// Progress assumed where none is listed, in percent.
 const LEAST_PERCENT: f64 = 1.0;
 
+/// Longest run time projected, in seconds.
+const MAX_PROJECTED_S: f64 = 600.0;
+
 /// How far a task has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Phase {
@@ -30,7 +33,10 @@
     pub(super) run: u32,
     pub(super) work: Arc<str>,
     pub(super) need: Room,
+    /// Run time expected here when it was sent.
     pub(super) expected: Duration,
+    /// Run time its caller declared.
+    pub(super) declared: Duration,
     /// Its objective is missed already.
     pub(super) late: bool,
     pub(super) start_by: Duration,
@@ -56,6 +62,7 @@
             work: order.work,
             need: order.need,
             expected: order.expected,
+            declared: order.declared,
             late: order.start_within.is_zero(),
             start_by: now + order.start_within,
             give_up_at: now + order.give_up,
@@ -77,33 +84,36 @@
         now >= self.give_up_at || (!self.late && now > self.start_by)
     }
 
-    /// Returns the projected run time relative to the expected one, once progress tells.
-    pub(super) fn pace(&self, now: Duration, least: Duration) -> Option<f64> {
+    /// Returns the projected run time in seconds, once progress tells.
+    fn projected(&self, now: Duration, least: Duration) -> Option<f64> {
         let elapsed = now.saturating_sub(self.started_at);
-        let expected = self.expected.as_secs_f64().max(0.001);
         if elapsed < least {
             return None;
         }
         let done = f64::from(self.percent).max(LEAST_PERCENT) / 100.0;
-        let projected = elapsed.as_secs_f64() / done / expected;
         // A small part done tells only of a task that has fallen far behind.
-        let tells = self.percent >= 25 || elapsed.as_secs_f64() > 0.3 * expected;
-        tells.then_some(projected)
+        let tells = self.percent >= 25 || elapsed.as_secs_f64() > 0.3 * self.expected.as_secs_f64();
+        tells.then_some(elapsed.as_secs_f64() / done)
+    }
+
+    /// Returns the projected run time relative to the declared one, once progress tells.
+    pub(super) fn pace(&self, now: Duration, least: Duration) -> Option<f64> {
+        Some(self.projected(now, least)? / self.declared.as_secs_f64().max(0.001))
     }
 
     /// Returns the time a task still needs that is far slower than expected.
     pub(super) fn slow_left(&self, now: Duration, least: Duration, ratio: f64) -> Option<Duration> {
-        let pace = self.pace(now, least)?;
-        if pace < ratio {
+        let projected = self.projected(now, least)?;
+        if projected < ratio * self.expected.as_secs_f64() {
             return None;
         }
         let elapsed = now.saturating_sub(self.started_at);
-        Some(self.expected.mul_f64(pace.min(1000.0)).saturating_sub(elapsed))
+        Some(Duration::from_secs_f64(projected.min(MAX_PROJECTED_S)).saturating_sub(elapsed))
     }
 
     /// Returns the time that a started task is taken to need.
     pub(super) fn remaining(&self, now: Duration, slowness: f64) -> Duration {
         let elapsed = now.saturating_sub(self.started_at);
-        self.expected.mul_f64(slowness).saturating_sub(elapsed).max(LEAST_REMAINING)
+        self.declared.mul_f64(slowness).saturating_sub(elapsed).max(LEAST_REMAINING)
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,9 +21,9 @@
 };
 pub use id::{AgentId, EntryName, IdError, RequestId, TaskName, TaskRun};
 pub use job::{Answer, GiveUp, JobSpec, RefusalReason, StepSpec, Terms};
-pub use place::{Candidate, EndpointStatus, Forecast, risk};
+pub use place::{Candidate, EndpointStatus, Forecast, QueuedCpu, risk};
 pub use predict::{Predictor, Ratio};
 pub use room::{FreeRoom, Room};
 pub use route::{Route, RouteTable};
-pub use samples::Samples;
+pub use samples::{Samples, Speed};
 pub use scheduler::{Action, Decision, Fate, Scheduler, SchedulerSettings, TaskEvent, TaskOrder};
--- a/crates/dispatch/src/predict.rs
+++ b/crates/dispatch/src/predict.rs
@@ -1,6 +1,6 @@
-//! How long tasks take on endpoints of each kind.
+//! How long the tasks of each queue take.
 //!
-//! Declared times are far off, and kinds of endpoint differ by more than a factor of two.
+//! Declared times are far off; how far, differs by queue.
 
 use std::time::Duration;
 
@@ -13,10 +13,10 @@
 const FIRST_DEVIATION: f64 = 0.3;
 /// Largest ratio learned from, so that a hung task does not count as a slow kind.
 const MAX_RATIO: f64 = 8.0;
-/// Pairs of queue and kind remembered at once.
-const MAX_PAIRS: usize = 4096;
+/// Queues remembered at once.
+const MAX_QUEUES: usize = 4096;
 
-/// Run time relative to the declared one.
+/// Run time relative to the expected one.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Ratio {
     /// Mean.
@@ -44,7 +44,7 @@
     }
 }
 
-/// Learns run times by queue and by kind of endpoint.
+/// Learns run times by queue, relative to the declared time and the speed of the endpoint.
 ///
 /// # Examples
 ///
@@ -53,37 +53,31 @@
 /// use cowslipwing_dispatch::Predictor;
 ///
 /// let mut predictor = Predictor::default();
-/// let declared = Duration::from_millis(100);
-/// predictor.observe("quotes", "slow", declared, Duration::from_millis(190));
-/// assert_eq!(predictor.ratio("quotes", "slow").mean, 1.9);
-/// // Another queue starts from what its kind of endpoint has shown.
-/// assert_eq!(predictor.ratio("holds", "slow").mean, 1.9);
-/// assert_eq!(predictor.ratio("holds", "fast").mean, 1.0);
+/// let expected = Duration::from_millis(100);
+/// predictor.observe("quotes", expected, Duration::from_millis(190));
+/// assert_eq!(predictor.ratio("quotes").mean, 1.9);
+/// assert_eq!(predictor.ratio("holds").mean, 1.0);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Predictor {
-    by_queue: SortedMap<(CompactString, CompactString), Ratio>,
-    by_kind: SortedMap<CompactString, Ratio>,
+    by_queue: SortedMap<CompactString, Ratio>,
 }
 
 impl Predictor {
-    /// Takes in that a task of a queue ran for `took` on an endpoint of a kind.
-    pub fn observe(&mut self, queue: &str, kind: &str, declared: Duration, took: Duration) {
-        if declared.is_zero() {
+    /// Takes in that a task of a queue ran for `took` where its declared time and the speed of the
+    /// endpoint let `expected` be expected.
+    pub fn observe(&mut self, queue: &str, expected: Duration, took: Duration) {
+        if expected.is_zero() {
             return;
         }
-        let ratio = (took.as_secs_f64() / declared.as_secs_f64()).min(MAX_RATIO);
-        self.by_kind.get_or_insert_with(kind.into(), Ratio::default).observe(ratio);
-        let key = (queue.into(), kind.into());
-        if self.by_queue.len() < MAX_PAIRS || self.by_queue.contains(&key) {
-            self.by_queue.get_or_insert_with(key, Ratio::default).observe(ratio);
+        let ratio = (took.as_secs_f64() / expected.as_secs_f64()).min(MAX_RATIO);
+        if self.by_queue.len() < MAX_QUEUES || self.by_queue.contains(&queue.into()) {
+            self.by_queue.get_or_insert_with(queue.into(), Ratio::default).observe(ratio);
         }
     }
 
-    /// Returns the expected run time relative to the declared one.
-    pub fn ratio(&self, queue: &str, kind: &str) -> Ratio {
-        let key = (CompactString::from(queue), CompactString::from(kind));
-        let found = self.by_queue.get(&key).or_else(|| self.by_kind.get(&key.1));
-        found.copied().unwrap_or_default()
+    /// Returns the expected run time relative to the one that declared time and speed tell.
+    pub fn ratio(&self, queue: &str) -> Ratio {
+        self.by_queue.get(&queue.into()).copied().unwrap_or_default()
     }
 }
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -24,10 +24,12 @@
 const MOVE_TIME: Duration = Duration::from_millis(40);
 /// Endpoints considered for a task, where there are more.
 const MAX_CANDIDATES: usize = 96;
-/// Risk of missing the objective from which a job counts as late already.
-const LATE_RISK: f64 = 0.85;
+/// Risk that the caller gives up first from which a job is refused at any load.
+const HOPELESS_RISK: f64 = 0.95;
+/// Risk of missing the objective from which a job is refused while the endpoints are busy.
+const LATE_RISK: f64 = 0.7;
 /// Load of the endpoints from which late jobs are refused, so that others stay in time.
-const BUSY_LOAD: f64 = 0.75;
+const BUSY_LOAD: f64 = 0.9;
 /// Time left to a caller below which a start is of no use.
 const LEAST_TIME: Duration = Duration::from_millis(15);
 /// Step between run numbers where an endpoint has seen a higher one, from an earlier attempt of the
@@ -35,8 +37,6 @@
 const STALE_STEP: u32 = 16;
 /// Share of failed tasks from which an endpoint is avoided.
 const SICK_SHARE: f64 = 0.3;
-/// Slowness up to which run times tell of the kind of an endpoint and not of its state.
-const SOUND_SLOWNESS: f64 = 1.4;
 
 /// Settings of a scheduler.
 #[derive(Clone, Copy, Debug)]
@@ -84,8 +84,10 @@
     pub work: std::sync::Arc<str>,
     /// What the task needs.
     pub need: Room,
-    /// Run time expected on a sound endpoint of its kind.
+    /// Run time expected there.
     pub expected: Duration,
+    /// Run time that the caller declares.
+    pub declared: Duration,
     /// Time within which a start serves the objective; zero where it is missed already.
     pub start_within: Duration,
     /// Time after which a start is of no use.
@@ -249,7 +251,6 @@
 struct Choice {
     agent: AgentId,
     forecast: Forecast,
-    expected: Duration,
     risk: f64,
 }
 
@@ -368,9 +369,10 @@
             return Ok(());
         };
         let end = longest.forecast.end();
-        let is_late = longest.risk > LATE_RISK;
-        let is_hopeless = now + end > job.deadline;
-        if is_hopeless || (is_late && self.load(&job.spec.service) > BUSY_LOAD) {
+        let unanswered = risk(&longest.forecast, job.deadline.saturating_sub(now));
+        let is_hopeless = unanswered > HOPELESS_RISK;
+        let is_late = longest.risk > LATE_RISK && self.load(&job.spec.service) > BUSY_LOAD;
+        if is_hopeless || is_late {
             let excess = (now + end).saturating_sub(job.objective).max(longest.forecast.wait);
             return Err(Refused { reason: RefusalReason::Load, end, retry_after: excess });
         }
@@ -404,6 +406,7 @@
         for known in self.endpoints.values().filter(|known| known.status.service == service) {
             size += f64::from(known.status.capacity.cpu_millis);
             free += f64::from(known.free().cpu_millis);
+            free -= f64::from(known.status.queued.total());
         }
         if size > 0.0 { 1.0 - free / size } else { 1.0 }
     }
@@ -423,8 +426,8 @@
         let count = self.endpoints.len();
         let stride = count.div_ceil(MAX_CANDIDATES).max(1);
         let sick = self.sick_limit(now);
-        let predictor = &self.predictor;
-        let mut best: Option<(f64, &AgentId, Forecast, Duration, f64)> = None;
+        let ratio = self.predictor.ratio(&spec.queue);
+        let mut best: Option<(f64, &AgentId, Forecast, f64)> = None;
         for (at, (agent, known)) in self.endpoints.iter().enumerate() {
             if at % stride != self.turn % stride || !known.is_usable(now, suspect_after) {
                 continue;
@@ -432,10 +435,9 @@
             if !known.suits(&spec.service, step) || is_full(step, agent, used) {
                 continue;
             }
-            let ratio = predictor.ratio(&spec.queue, &known.status.kind);
             let far = step.near.as_ref().is_some_and(|near| *near != known.status.rack);
             let candidate = Candidate { status: &known.status, free: known.free(), ratio, far };
-            let forecast = candidate.forecast(step.need, step.declared);
+            let forecast = candidate.forecast(step.need, step.declared, left);
             let mut cost = candidate.cost(step.need, &forecast, left);
             if avoid == Some(agent) {
                 cost += 2.0;
@@ -444,16 +446,10 @@
                 cost += 4.0;
             }
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                let expected = step.declared.mul_f64(ratio.mean);
-                best = Some((cost, agent, forecast, expected, risk(&forecast, left)));
+                best = Some((cost, agent, forecast, risk(&forecast, left)));
             }
         }
-        best.map(|(_, agent, forecast, expected, risk)| Choice {
-            agent: agent.clone(),
-            forecast,
-            expected,
-            risk,
-        })
+        best.map(|(_, agent, forecast, risk)| Choice { agent: agent.clone(), forecast, risk })
     }
 
     /// Returns the share of failures from which an endpoint counts as sick: where tasks fail
@@ -484,7 +480,7 @@
             return;
         };
         let (spec, name) = (job.spec.clone(), job.tasks[at].name.clone());
-        let (objective, deadline) = (job.objective, job.deadline);
+        let (objective, deadline) = (job.objective.min(job.deadline), job.deadline);
         let avoid = job.tasks[at].avoid.clone();
         let used = job.used(name.step);
         let step = &spec.steps[usize::from(name.step)];
@@ -507,12 +503,13 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        let run = job.tasks[at].send(now, &choice.agent, choice.expected);
+        let run = job.tasks[at].send(now, &choice.agent, choice.forecast.run);
         let order = TaskOrder {
             run,
             work: spec.work.clone(),
             need,
-            expected: choice.expected,
+            expected: choice.forecast.run,
+            declared: step.declared,
             start_within,
             give_up: give_up.max(LEAST_TIME),
             most_here,
@@ -696,17 +693,15 @@
         let Some(job) = self.jobs.get_mut(&name.request) else {
             return;
         };
-        let declared = job.spec.steps[usize::from(name.step)].declared;
-        let TaskState::Sent { agent, .. } =
+        let TaskState::Sent { expected, .. } =
             std::mem::replace(&mut job.tasks[at].state, TaskState::Done)
         else {
             return;
         };
-        if let Some(known) = self.endpoints.get(&agent) {
-            if known.status.slowness < SOUND_SLOWNESS {
-                self.predictor.observe(&job.spec.queue, &known.status.kind, declared, took);
-            }
-        }
+        let ratio = self.predictor.ratio(&job.spec.queue).mean;
+        // What the queue's own ratio has added to the expected time is taken out again.
+        let expected = expected.mul_f64(1.0 / ratio.max(0.1));
+        self.predictor.observe(&job.spec.queue, expected, took);
         if job.is_done() {
             self.end(&name.request, Some(Answer::Completed));
         } else {
@@ -739,7 +734,8 @@
         let Some(job) = self.jobs.get(&name.request) else {
             return;
         };
-        let (spec, objective, deadline) = (job.spec.clone(), job.objective, job.deadline);
+        let (objective, deadline) = (job.objective.min(job.deadline), job.deadline);
+        let spec = job.spec.clone();
         let step = &spec.steps[usize::from(name.step)];
         let until_objective = objective.saturating_sub(now);
         let choice = self.choose(now, &spec, step, until_objective, Some(agent), &[]);
--- a/crates/dispatch/src/scheduler/task.rs
+++ b/crates/dispatch/src/scheduler/task.rs
@@ -99,9 +99,9 @@
         }
     }
 
-    /// Returns the time until the objective.
+    /// Returns the time until the objective, or until the caller gives up where that is earlier.
     pub(super) fn left(&self, now: Duration) -> Duration {
-        self.objective.saturating_sub(now)
+        self.objective.min(self.deadline).saturating_sub(now)
     }
 
     pub(super) fn index_of(&self, name: &TaskName) -> Option<usize> {
--- a/crates/node/src/agent/calls.rs
+++ b/crates/node/src/agent/calls.rs
@@ -15,15 +15,16 @@
 /// Time in which the endpoint must answer a start; it does so within a millisecond when sound.
 const START_LIMIT: Duration = Duration::from_millis(150);
 /// Time in which the endpoint must answer a stop.
-const STOP_LIMIT: Duration = Duration::from_millis(150);
-/// Time in which the endpoint must answer with a listing, beyond the time it was to wait.
-const LIST_LIMIT: Duration = Duration::from_millis(150);
+const STOP_LIMIT: Duration = Duration::from_millis(60);
+/// Time in which the endpoint must answer with a listing, beyond the time it was to wait; what has
+/// ended is seen late by as much where an answer is lost.
+const LIST_LIMIT: Duration = Duration::from_millis(35);
 /// Longest wait of a listing while tasks run, so that their progress is seen.
-const BUSY_WAIT: Duration = Duration::from_millis(60);
+const BUSY_WAIT: Duration = Duration::from_millis(45);
 /// Longest wait of a listing while nothing runs.
 const IDLE_WAIT: Duration = Duration::from_millis(300);
 /// Time between two listings where the endpoint does not answer.
-const LIST_RETRY: Duration = Duration::from_millis(50);
+const LIST_RETRY: Duration = Duration::from_millis(5);
 /// Addition to a fencing token that was refused; an earlier incarnation whose clock was ahead had a
 /// higher one, by at most the steps of clocks seen so far. It doubles with each refusal.
 const FENCE_STEP: u64 = 4000;
--- a/crates/node/src/convert.rs
+++ b/crates/node/src/convert.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cowslipwing_dispatch::{EndpointStatus, Fate, FreeRoom, Room, TaskEvent, TaskOrder};
+use cowslipwing_dispatch::{EndpointStatus, Fate, FreeRoom, QueuedCpu, Room, TaskEvent, TaskOrder};
 use cowslipwing_proto as proto;
 
 use crate::wire_ids::{run_of, run_to};
@@ -27,6 +27,7 @@
         memory_mb: order.need.memory_mb,
         gpus: order.need.gpus,
         expected_ms: millis32(order.expected),
+        declared_ms: millis32(order.declared),
         start_within_ms: millis32(order.start_within),
         give_up_ms: millis32(order.give_up),
         most_here: order.most_here,
@@ -39,6 +40,7 @@
         work: wire.work.into(),
         need: Room { cpu_millis: wire.cpu_millis, memory_mb: wire.memory_mb, gpus: wire.gpus },
         expected: from_millis32(wire.expected_ms),
+        declared: from_millis32(wire.declared_ms),
         start_within: from_millis32(wire.start_within_ms),
         give_up: from_millis32(wire.give_up_ms),
         most_here: wire.most_here,
@@ -87,6 +89,7 @@
         slowness_percent: (status.slowness * 100.0) as u32,
         failing_percent: (status.failing * 100.0) as u32,
         orders_seen: status.orders_seen,
+        queued_cpu_millis: status.queued.classes.to_vec(),
     }
 }
 
@@ -102,9 +105,18 @@
             memory_mb: wire.free_memory_mb,
             gpus: wire.free_gpus,
         },
+        queued: queued_of(&wire.queued_cpu_millis),
         turnover: from_millis32(wire.turnover_ms),
         slowness: f64::from(wire.slowness_percent) / 100.0,
         failing: f64::from(wire.failing_percent) / 100.0,
         orders_seen: wire.orders_seen,
     }
 }
+
+fn queued_of(wire: &[u32]) -> QueuedCpu {
+    let mut queued = QueuedCpu::default();
+    for (class, cpu_millis) in queued.classes.iter_mut().zip(wire) {
+        *class = *cpu_millis;
+    }
+    queued
+}
