--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -12,7 +12,7 @@
 use compact_str::CompactString;
 use cowslipwing_types::SortedMap;
 
-use crate::id::{EntryName, TaskName, TaskRun};
+use crate::id::{EntryName, RequestId, TaskName, TaskRun};
 use crate::place::{EndpointStatus, QueuedCpu};
 use crate::room::{FreeRoom, Room};
 use crate::samples::{Samples, Speed};
@@ -26,10 +26,6 @@
 const START_ANSWER: Duration = Duration::from_millis(30);
 /// Silence of the endpoint after which it takes no new tasks.
 const SILENCE_LIMIT: Duration = Duration::from_millis(900);
-/// Time after which the progress of a task tells of its speed.
-const PROGRESS_TIME: Duration = Duration::from_millis(30);
-/// Projected run time, relative to the expected one, from which the entry is told.
-const TELL_RATIO: f64 = 1.6;
 /// Least time between two such messages on one task.
 const TELL_AGAIN: Duration = Duration::from_millis(120);
 /// Rate at which the endpoint's clock runs at least, relative to this one.
@@ -520,8 +516,9 @@
             self.on_end(now, end);
         }
         self.foreign.retain(|run, _| listing.running.iter().any(|found| found.run == *run));
+        let disturbed = self.slowness(now) > self.speed.usual();
         for progress in &listing.running {
-            self.on_progress(now, progress);
+            self.on_progress(now, progress, disturbed);
         }
         for name in self.names(|held| held.phase != Phase::Queued) {
             self.settle(now, &name, listing);
@@ -539,10 +536,10 @@
             return;
         };
         let took = now.saturating_sub(held.started_at);
-        let declared = held.declared;
+        let work = held.work_time;
         let fate = match end.how {
             HowEnded::Done => {
-                self.speed.observe(now, declared, took);
+                self.speed.observe(now, work, took);
                 self.failures.add(now, 0.0);
                 Fate::Done(took)
             }
@@ -555,7 +552,7 @@
         self.finish(&end.run.task, fate);
     }
 
-    fn on_progress(&mut self, now: Duration, progress: &TaskProgress) {
+    fn on_progress(&mut self, now: Duration, progress: &TaskProgress, disturbed: bool) {
         let run = &progress.run;
         let Some(held) = self.held.get_mut(&run.task).filter(|held| held.run == run.run) else {
             if !self.foreign.contains(run) {
@@ -568,8 +565,9 @@
             held.phase = Phase::Running;
             held.confirmed_at = Some(now);
         }
-        held.percent = progress.percent;
-        let Some(left) = held.slow_left(now, PROGRESS_TIME, TELL_RATIO) else {
+        held.on_progress(now, progress.percent);
+        let usual = self.speed.usual();
+        let Some(left) = held.slow_left(usual, disturbed) else {
             return;
         };
         if held.told_at.is_some_and(|at| now < at + TELL_AGAIN) {
@@ -696,12 +694,16 @@
         }
     }
 
-    /// Returns run times here relative to the declared ones, as tasks that have ended and those that
-    /// run tell.
+    /// Returns run times here relative to the work, as tasks that have ended and those that run tell.
     fn slowness(&self, now: Duration) -> f64 {
-        let running = self.held.values().filter(|held| held.phase == Phase::Running);
-        let paces = running.filter_map(|held| held.pace(now, PROGRESS_TIME)).collect();
-        self.speed.ratio(now, paces)
+        // Tasks of one job are off by about the same factor, so that each job counts once.
+        let mut paces: SortedMap<&RequestId, f64> = SortedMap::new();
+        for (name, held) in self.held.iter() {
+            if let Some(pace) = held.pace() {
+                paces.insert(&name.request, pace);
+            }
+        }
+        self.speed.ratio(now, paces.into_values())
     }
 
     /// Returns the processors that queued tasks ask for, by the latest useful start.
--- a/crates/dispatch/src/executor/held.rs
+++ b/crates/dispatch/src/executor/held.rs
@@ -9,8 +9,15 @@
 
 /// Least time that a running task is taken to need.
 const LEAST_REMAINING: Duration = Duration::from_millis(5);
-/// Progress assumed where none is listed, in percent.
-const LEAST_PERCENT: f64 = 1.0;
+/// Progress assumed where none is seen, in percent.
+const LEAST_PERCENT: f64 = 0.5;
+/// Least time between two looks at progress, which is listed in whole percents.
+const MARK_TIME: Duration = Duration::from_millis(35);
+/// Pace relative to the usual one from which a task at a disturbed endpoint is told of.
+const SLOW_PACE: f64 = 1.8;
+/// Pace relative to the usual one from which a task is told of that others do not share; wrong
+/// declared times rarely explain it.
+const STILL_PACE: f64 = 5.0;
 
 /// Longest run time projected, in seconds.
 const MAX_PROJECTED_S: f64 = 600.0;
@@ -33,10 +40,8 @@
     pub(super) run: u32,
     pub(super) work: Arc<str>,
     pub(super) need: Room,
-    /// Run time expected here when it was sent.
-    pub(super) expected: Duration,
-    /// Run time its caller declared.
-    pub(super) declared: Duration,
+    /// Work expected: the run time on an endpoint of speed 1.
+    pub(super) work_time: Duration,
     /// Its objective is missed already.
     pub(super) late: bool,
     pub(super) start_by: Duration,
@@ -50,7 +55,11 @@
     pub(super) in_doubt: bool,
     pub(super) stop_sent: Option<Duration>,
     pub(super) stop_confirmed: Option<Duration>,
-    pub(super) percent: u32,
+    percent: u32,
+    /// When progress was last looked at, and how far the task was.
+    mark: Option<(Duration, u32)>,
+    /// Run time of the whole task at its present pace, in seconds.
+    rate: Option<f64>,
     pub(super) told_at: Option<Duration>,
 }
 
@@ -61,8 +70,7 @@
             run: order.run.run,
             work: order.work,
             need: order.need,
-            expected: order.expected,
-            declared: order.declared,
+            work_time: order.work_time,
             late: order.start_within.is_zero(),
             start_by: now + order.start_within,
             give_up_at: now + order.give_up,
@@ -75,6 +83,8 @@
             stop_sent: None,
             stop_confirmed: None,
             percent: 0,
+            mark: None,
+            rate: None,
             told_at: None,
         }
     }
@@ -84,36 +94,38 @@
         now >= self.give_up_at || (!self.late && now > self.start_by)
     }
 
-    /// Returns the projected run time in seconds, once progress tells.
-    fn projected(&self, now: Duration, least: Duration) -> Option<f64> {
-        let elapsed = now.saturating_sub(self.started_at);
-        if elapsed < least {
-            return None;
+    /// Takes in how far the task is.
+    pub(super) fn on_progress(&mut self, now: Duration, percent: u32) {
+        self.percent = percent;
+        let (at, from) = *self.mark.get_or_insert((self.started_at, 0));
+        let passed = now.saturating_sub(at);
+        if passed < MARK_TIME {
+            return;
         }
-        let done = f64::from(self.percent).max(LEAST_PERCENT) / 100.0;
-        // A small part done tells only of a task that has fallen far behind.
-        let tells = self.percent >= 25 || elapsed.as_secs_f64() > 0.3 * self.expected.as_secs_f64();
-        tells.then_some(elapsed.as_secs_f64() / done)
+        let done = f64::from(percent.saturating_sub(from)).max(LEAST_PERCENT);
+        self.rate = Some(passed.as_secs_f64() * 100.0 / done);
+        self.mark = Some((now, percent));
     }
 
-    /// Returns the projected run time relative to the declared one, once progress tells.
-    pub(super) fn pace(&self, now: Duration, least: Duration) -> Option<f64> {
-        Some(self.projected(now, least)? / self.declared.as_secs_f64().max(0.001))
+    /// Returns the run time at the present pace relative to the work, once progress tells.
+    pub(super) fn pace(&self) -> Option<f64> {
+        Some(self.rate? / self.work_time.as_secs_f64().max(0.001))
     }
 
-    /// Returns the time a task still needs that is far slower than expected.
-    pub(super) fn slow_left(&self, now: Duration, least: Duration, ratio: f64) -> Option<Duration> {
-        let projected = self.projected(now, least)?;
-        if projected < ratio * self.expected.as_secs_f64() {
+    /// Returns the time a task still needs whose endpoint is disturbed or that stands still.
+    pub(super) fn slow_left(&self, usual: f64, disturbed: bool) -> Option<Duration> {
+        let pace = self.pace()?;
+        let limit = if disturbed { SLOW_PACE } else { STILL_PACE };
+        if pace < limit * usual {
             return None;
         }
-        let elapsed = now.saturating_sub(self.started_at);
-        Some(Duration::from_secs_f64(projected.min(MAX_PROJECTED_S)).saturating_sub(elapsed))
+        let left = f64::from(100u32.saturating_sub(self.percent)) / 100.0;
+        Some(Duration::from_secs_f64((left * self.rate?).min(MAX_PROJECTED_S)))
     }
 
     /// Returns the time that a started task is taken to need.
     pub(super) fn remaining(&self, now: Duration, slowness: f64) -> Duration {
         let elapsed = now.saturating_sub(self.started_at);
-        self.declared.mul_f64(slowness).saturating_sub(elapsed).max(LEAST_REMAINING)
+        self.work_time.mul_f64(slowness).saturating_sub(elapsed).max(LEAST_REMAINING)
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,8 +21,8 @@
 };
 pub use id::{AgentId, EntryName, IdError, RequestId, TaskName, TaskRun};
 pub use job::{Answer, GiveUp, JobSpec, RefusalReason, StepSpec, Terms};
-pub use place::{Candidate, EndpointStatus, Forecast, QueuedCpu, risk};
-pub use predict::{Predictor, Ratio};
+pub use place::{Candidate, Demand, EndpointStatus, Forecast, QueuedCpu, exceeds};
+pub use predict::{Predictor, Work};
 pub use room::{FreeRoom, Room};
 pub use route::{Route, RouteTable};
 pub use samples::{Samples, Speed};
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -8,19 +8,30 @@
 
 use compact_str::CompactString;
 
-use crate::predict::Ratio;
+use crate::job::Terms;
+use crate::predict::Work;
 use crate::room::{FreeRoom, Room};
 
 /// Time from sending an order until the endpoint starts, and back to the caller.
 const TRANSFER: Duration = Duration::from_millis(12);
-/// Spread of the transfer time, in seconds.
+/// Standard deviation of the transfer time, in seconds.
 const TRANSFER_SPREAD: f64 = 0.008;
 /// Weight of an endpoint's load beside the risk of missing the objective.
 const LOAD_WEIGHT: f64 = 0.25;
 /// Weight of the probability that a task fails at an endpoint.
 const FAILURE_WEIGHT: f64 = 1.0;
-/// Steepness that makes a logistic curve follow the normal distribution, for mean deviations.
-const LOGISTIC: f64 = 1.36;
+/// Steepness that makes a logistic curve follow the normal distribution.
+const LOGISTIC: f64 = 1.702;
+/// Worth of a late answer relative to one in time.
+const LATE_WORTH: f64 = 0.2;
+/// Standard deviation of an endpoint's speed, relative to it.
+const SPEED_SPREAD: f64 = 0.15;
+/// Standard deviation of a predicted wait, relative to it.
+const WAIT_SPREAD: f64 = 0.4;
+/// Least standard deviation, in seconds.
+const LEAST_SPREAD: f64 = 0.001;
+/// Slowness of the fastest endpoints told apart.
+const LEAST_SLOWNESS: f64 = 0.1;
 /// Part of an endpoint's size that is taken to be missing where something else than processors is.
 const LEAST_SHORTAGE: f64 = 0.05;
 /// Run time on a rack far from the data, relative to that on the same rack.
@@ -45,7 +56,7 @@
     pub queued: QueuedCpu,
     /// Mean time until a running task ends.
     pub turnover: Duration,
-    /// Run times relative to the declared ones.
+    /// Run times relative to the work.
     pub slowness: f64,
     /// Share of the latest tasks that failed.
     pub failing: f64,
@@ -108,21 +119,40 @@
     pub status: &'a EndpointStatus,
     /// Room left, less what orders on their way will take.
     pub free: FreeRoom,
-    /// Learned run time of the queue's tasks on its kind.
-    pub ratio: Ratio,
     /// Whether the data is on another rack.
     pub far: bool,
 }
 
-/// When a task would end.
+/// A task to be placed.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand {
+    /// What it needs.
+    pub need: Room,
+    /// How much work it is.
+    pub work: Work,
+    /// Work of the other steps of its chain.
+    pub others: Duration,
+    /// What its contract says.
+    pub terms: Terms,
+    /// Time since its request was sent.
+    pub elapsed: Duration,
+    /// Time until its caller gives up.
+    pub patience: Duration,
+}
+
+/// How a task would fare at an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Forecast {
     /// Time until it starts.
     pub wait: Duration,
     /// Time it then takes.
     pub run: Duration,
-    /// Mean absolute deviation of the end, in seconds.
-    pub deviation: f64,
+    /// Time for which it may wait and still be in time; zero where it would be late at once.
+    pub slack: Duration,
+    /// Probability of missing the objective.
+    pub late: f64,
+    /// Probability that the caller gives up first.
+    pub unanswered: f64,
 }
 
 impl Forecast {
@@ -133,15 +163,38 @@
 }
 
 impl Candidate<'_> {
-    /// Forecasts a task that has `left` until its objective.
-    pub fn forecast(&self, need: Room, declared: Duration, left: Duration) -> Forecast {
+    /// Forecasts a task.
+    ///
+    /// The objective grows with the work as the run time does, so that an endpoint that is faster than
+    /// the stretch stays in time however far off the declared time is.
+    pub fn forecast(&self, demand: &Demand) -> Forecast {
         let far = if self.far { FAR_RATIO } else { 1.0 };
-        let slowness = self.status.slowness.max(0.1) * far;
-        let run = declared.mul_f64(self.ratio.mean * slowness);
-        let spread = declared.as_secs_f64() * self.ratio.deviation * slowness;
-        let wait = self.wait(need, left.saturating_sub(TRANSFER + run));
-        let deviation = spread + TRANSFER_SPREAD + wait.as_secs_f64() / 3.0;
-        Forecast { wait, run, deviation }
+        let speed = self.status.slowness.max(LEAST_SLOWNESS) * far;
+        let work = demand.work.median.as_secs_f64();
+        let run = speed * work;
+        let terms = demand.terms;
+        let promised = terms.stretch * (work + demand.others.as_secs_f64());
+        let used = demand.elapsed + TRANSFER;
+        let slack = promised + terms.target.as_secs_f64() - used.as_secs_f64() - run;
+        let wait = self.wait(demand.need, Duration::from_secs_f64(slack.max(0.0)));
+        let waits = wait.as_secs_f64();
+        let unsure = [
+            (terms.stretch - speed) * demand.work.spread * work,
+            SPEED_SPREAD * run,
+            WAIT_SPREAD * waits,
+            TRANSFER_SPREAD,
+        ];
+        let late = exceeds(slack - waits, &unsure);
+        let left = demand.patience.as_secs_f64() - TRANSFER.as_secs_f64() - waits - run;
+        let unsure = [demand.work.spread * run, SPEED_SPREAD * run, WAIT_SPREAD * waits];
+        let unanswered = exceeds(left, &unsure);
+        Forecast {
+            wait,
+            run: Duration::from_secs_f64(run),
+            slack: Duration::from_secs_f64(slack.max(0.0)),
+            late: late.max(unanswered),
+            unanswered,
+        }
     }
 
     /// Returns the time until room is free for a task that can wait for `slack`.
@@ -160,29 +213,28 @@
         self.status.turnover.mul_f64(2.0 * (-left / size).max(LEAST_SHORTAGE))
     }
 
-    /// Returns the cost of a task here: lower is better.
-    pub fn cost(&self, need: Room, forecast: &Forecast, left: Duration) -> f64 {
+    /// Returns the cost of a task here, in parts of what it is worth: lower is better.
+    pub fn cost(&self, need: Room, forecast: &Forecast) -> f64 {
         let size = f64::from(self.status.capacity.cpu_millis.max(1));
         let free = f64::from(self.free.cpu_millis) - f64::from(self.status.queued.total());
         let load = ((size - free + f64::from(need.cpu_millis)) / size).max(0.0);
-        risk(forecast, left) + LOAD_WEIGHT * load * load + FAILURE_WEIGHT * self.status.failing
+        let lost = (1.0 - LATE_WORTH) * forecast.late + LATE_WORTH * forecast.unanswered;
+        lost + LOAD_WEIGHT * load * load + FAILURE_WEIGHT * self.status.failing
     }
 }
 
-/// Returns the probability that a task ends later than `left` from now.
+/// Returns the probability that something with these standard deviations, added up, exceeds `margin`.
 ///
 /// # Examples
 ///
 /// ```
-/// use std::time::Duration;
-/// use cowslipwing_dispatch::{Forecast, risk};
+/// use cowslipwing_dispatch::exceeds;
 ///
-/// let run = Duration::from_millis(100);
-/// let forecast = Forecast { wait: Duration::ZERO, run, deviation: 0.02 };
-/// assert!(risk(&forecast, Duration::from_millis(300)) < 0.01);
-/// assert!(risk(&forecast, Duration::from_millis(50)) > 0.9);
+/// assert!(exceeds(0.2, &[0.03, 0.04]) < 0.01);
+/// assert_eq!(exceeds(0.0, &[0.05]), 0.5);
+/// assert!(exceeds(-0.2, &[0.05]) > 0.99);
 /// ```
-pub fn risk(forecast: &Forecast, left: Duration) -> f64 {
-    let slack = left.as_secs_f64() - forecast.end().as_secs_f64();
-    1.0 / (1.0 + (LOGISTIC * slack / forecast.deviation.max(0.001)).exp())
+pub fn exceeds(margin: f64, deviations: &[f64]) -> f64 {
+    let variance: f64 = deviations.iter().map(|deviation| deviation * deviation).sum();
+    1.0 / (1.0 + (LOGISTIC * margin / variance.sqrt().max(LEAST_SPREAD)).exp())
 }
--- a/crates/dispatch/src/predict.rs
+++ b/crates/dispatch/src/predict.rs
@@ -1,6 +1,7 @@
-//! How long the tasks of each queue take.
+//! How much work the tasks of each queue are.
 //!
-//! Declared times are far off; how far, differs by queue.
+//! Declared times are far off, and the more so the further they are from what is usual in their queue.
+//! A regression of the logarithm of the work on that of the declared time takes both into account.
 
 use std::time::Duration;
 
@@ -8,43 +9,74 @@
 use cowslipwing_types::SortedMap;
 
 /// Weight of an observation once several have been made.
-const LEARNING_RATE: f64 = 0.05;
-/// Relative deviation assumed before anything was observed.
-const FIRST_DEVIATION: f64 = 0.3;
-/// Largest ratio learned from, so that a hung task does not count as a slow kind.
-const MAX_RATIO: f64 = 8.0;
+const LEARNING_RATE: f64 = 0.01;
+/// Standard deviation of the logarithm assumed before anything was observed.
+const FIRST_SPREAD: f64 = 0.4;
+/// Observations that what is assumed at first counts for.
+const FIRST_WEIGHT: f64 = 8.0;
+/// Variance of the logarithm of declared times assumed at first.
+const FIRST_VARIANCE: f64 = 0.3;
+/// Largest error learned from, as a factor, so that a hung task does not count as a large one.
+const MAX_ERROR: f64 = 6.0;
 /// Queues remembered at once.
 const MAX_QUEUES: usize = 4096;
 
-/// Run time relative to the expected one.
+/// How much work a task is: its run time on an endpoint of speed 1.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Ratio {
-    /// Mean.
-    pub mean: f64,
-    /// Mean absolute deviation.
-    pub deviation: f64,
-    seen: u32,
+pub struct Work {
+    /// Median.
+    pub median: Duration,
+    /// Standard deviation of the logarithm.
+    pub spread: f64,
 }
 
-impl Default for Ratio {
-    fn default() -> Self {
-        Self { mean: 1.0, deviation: FIRST_DEVIATION, seen: 0 }
-    }
+/// A regression of work on declared time, both as logarithms of seconds.
+#[derive(Clone, Copy, Debug)]
+struct Regression {
+    weight: f64,
+    mean_declared: f64,
+    mean_work: f64,
+    variance: f64,
+    covariance: f64,
+    error_variance: f64,
 }
 
-impl Ratio {
-    fn observe(&mut self, ratio: f64) {
-        self.seen = self.seen.saturating_add(1);
-        let rate = LEARNING_RATE.max(1.0 / f64::from(self.seen));
-        let error = ratio - self.mean;
-        self.mean += rate * error;
-        if self.seen > 1 {
-            self.deviation += rate.min(0.5) * (error.abs() - self.deviation);
+impl Regression {
+    /// Starts with the assumption that the first declared time is right.
+    fn new(declared: f64) -> Self {
+        Self {
+            weight: FIRST_WEIGHT,
+            mean_declared: declared,
+            mean_work: declared,
+            variance: FIRST_VARIANCE,
+            covariance: FIRST_VARIANCE,
+            error_variance: FIRST_SPREAD * FIRST_SPREAD,
         }
     }
+
+    fn predict(&self, declared: f64) -> f64 {
+        let slope = (self.covariance / self.variance.max(1e-3)).clamp(0.0, 1.0);
+        self.mean_work + slope * (declared - self.mean_declared)
+    }
+
+    fn observe(&mut self, declared: f64, work: f64) {
+        let expected = self.predict(declared);
+        let bound = MAX_ERROR.ln();
+        let error = (work - expected).clamp(-bound, bound);
+        let work = expected + error;
+        self.weight += 1.0;
+        let rate = LEARNING_RATE.max(1.0 / self.weight);
+        let (from_declared, from_work) = (declared - self.mean_declared, work - self.mean_work);
+        self.mean_declared += rate * from_declared;
+        self.mean_work += rate * from_work;
+        let rest = 1.0 - rate;
+        self.variance = rest * (self.variance + rate * from_declared * from_declared);
+        self.covariance = rest * (self.covariance + rate * from_declared * from_work);
+        self.error_variance += rate * (error * error - self.error_variance);
+    }
 }
 
-/// Learns run times by queue, relative to the declared time and the speed of the endpoint.
+/// Learns how much work the tasks of each queue are.
 ///
 /// # Examples
 ///
@@ -53,31 +85,43 @@
 /// use cowslipwing_dispatch::Predictor;
 ///
 /// let mut predictor = Predictor::default();
-/// let expected = Duration::from_millis(100);
-/// predictor.observe("quotes", expected, Duration::from_millis(190));
-/// assert_eq!(predictor.ratio("quotes").mean, 1.9);
-/// assert_eq!(predictor.ratio("holds").mean, 1.0);
+/// let declared = Duration::from_millis(100);
+/// assert_eq!(predictor.work("quotes", declared).median, declared);
+/// for _ in 0..500 {
+///     predictor.observe("quotes", declared, Duration::from_millis(200));
+/// }
+/// let work = predictor.work("quotes", declared).median;
+/// assert!(work > Duration::from_millis(190));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Predictor {
-    by_queue: SortedMap<CompactString, Ratio>,
+    by_queue: SortedMap<CompactString, Regression>,
+}
+
+fn logarithm(time: Duration) -> f64 {
+    time.as_secs_f64().max(0.001).ln()
 }
 
 impl Predictor {
-    /// Takes in that a task of a queue ran for `took` where its declared time and the speed of the
-    /// endpoint let `expected` be expected.
-    pub fn observe(&mut self, queue: &str, expected: Duration, took: Duration) {
-        if expected.is_zero() {
+    /// Takes in that a task was so much work.
+    pub fn observe(&mut self, queue: &str, declared: Duration, work: Duration) {
+        let queue = CompactString::from(queue);
+        if self.by_queue.len() >= MAX_QUEUES && !self.by_queue.contains(&queue) {
             return;
         }
-        let ratio = (took.as_secs_f64() / expected.as_secs_f64()).min(MAX_RATIO);
-        if self.by_queue.len() < MAX_QUEUES || self.by_queue.contains(&queue.into()) {
-            self.by_queue.get_or_insert_with(queue.into(), Ratio::default).observe(ratio);
-        }
+        let declared = logarithm(declared);
+        let known = self.by_queue.get_or_insert_with(queue, || Regression::new(declared));
+        known.observe(declared, logarithm(work));
     }
 
-    /// Returns the expected run time relative to the one that declared time and speed tell.
-    pub fn ratio(&self, queue: &str) -> Ratio {
-        self.by_queue.get(&queue.into()).copied().unwrap_or_default()
+    /// Returns how much work a task is expected to be.
+    pub fn work(&self, queue: &str, declared: Duration) -> Work {
+        match self.by_queue.get(&queue.into()) {
+            None => Work { median: declared, spread: FIRST_SPREAD },
+            Some(known) => Work {
+                median: Duration::from_secs_f64(known.predict(logarithm(declared)).exp()),
+                spread: known.error_variance.sqrt(),
+            },
+        }
     }
 }
--- a/crates/dispatch/src/samples.rs
+++ b/crates/dispatch/src/samples.rs
@@ -65,17 +65,24 @@
 }
 
 /// Weight of an observation of an endpoint's speed once several were made.
-const LEARNING_RATE: f64 = 0.04;
-/// Latest run times relative to the usual ones from which the endpoint counts as disturbed.
-const DISTURBED_RATIO: f64 = 1.6;
+const LEARNING_RATE: f64 = 0.03;
+/// Observations that the speed 1, assumed at first, counts for.
+const FIRST_WEIGHT: f64 = 2.0;
+/// Pull of the speed towards 1 with each observation: only speed times work is seen, and the pull keeps
+/// the two from drifting apart.
+const PULL: f64 = 0.0005;
+/// Present run times relative to the usual ones from which the endpoint counts as disturbed.
+const DISTURBED_RATIO: f64 = 2.0;
 /// Observations from which the usual speed is known.
-const ENOUGH: u32 = 12;
-/// Latest observations needed to tell a disturbance from wrong declared times.
-const ENOUGH_RECENT: usize = 3;
+const ENOUGH: f64 = 12.0;
+/// Running jobs whose pace tells of the endpoint without regard to those that ended before.
+const ENOUGH_RUNNING: usize = 3;
+/// Latest observations that complete the running jobs where these are fewer.
+const LATEST: usize = 3;
 
-/// How long tasks take at an endpoint, relative to what their callers declare.
+/// How long tasks take at an endpoint, relative to the work that they are.
 ///
-/// The mean over many tasks tells the usual speed, the median of the latest a disturbance.
+/// The mean over many tasks tells the usual speed, the median of the present ones a disturbance.
 ///
 /// # Examples
 ///
@@ -83,49 +90,57 @@
 /// use std::time::Duration;
 /// use cowslipwing_dispatch::Speed;
 ///
-/// let (now, declared) = (Duration::from_secs(1), Duration::from_millis(100));
+/// let (now, work) = (Duration::from_secs(1), Duration::from_millis(100));
 /// let mut speed = Speed::default();
-/// for _ in 0..20 {
-///     speed.observe(now, declared, Duration::from_millis(70));
+/// for _ in 0..200 {
+///     speed.observe(now, work, Duration::from_millis(70));
 /// }
-/// assert_eq!((speed.ratio(now, vec![]) * 100.0).round(), 70.0);
+/// assert!((speed.usual() - 0.7).abs() < 0.02);
 /// // Running tasks that have fallen far behind tell at once.
-/// assert!(speed.ratio(now, vec![5.0; 10]) > 4.0);
+/// assert!(speed.ratio(now, vec![5.0; 4]) > 4.0);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Speed {
+    /// Mean logarithm of the usual speed.
     usual: f64,
-    seen: u32,
+    weight: f64,
     latest: Samples,
 }
 
 impl Speed {
-    /// Takes in that a task has taken so long.
-    pub fn observe(&mut self, now: Duration, declared: Duration, took: Duration) {
-        if declared.is_zero() {
+    /// Takes in that a task of so much work has taken so long.
+    pub fn observe(&mut self, now: Duration, work: Duration, took: Duration) {
+        if work.is_zero() || took.is_zero() {
             return;
         }
-        let ratio = took.as_secs_f64() / declared.as_secs_f64();
+        let ratio = took.as_secs_f64() / work.as_secs_f64();
         self.latest.add(now, ratio);
-        let disturbed = self.seen >= ENOUGH && self.ratio(now, Vec::new()) > self.usual;
+        let disturbed = self.weight > ENOUGH && self.ratio(now, Vec::new()) > self.usual();
         if disturbed {
             return;
         }
-        self.seen = self.seen.saturating_add(1);
-        let rate = LEARNING_RATE.max(1.0 / f64::from(self.seen));
-        self.usual += rate * (ratio - self.usual);
+        self.weight += 1.0;
+        let rate = LEARNING_RATE.max(1.0 / (FIRST_WEIGHT + self.weight));
+        self.usual += rate * (ratio.ln() - self.usual) - PULL * self.usual;
     }
 
-    /// Returns the run time to expect relative to the declared one, where tasks that run are projected
-    /// to take `running`.
+    /// Returns the usual run time relative to the work.
+    pub fn usual(&self) -> f64 {
+        self.usual.exp()
+    }
+
+    /// Returns the run time to expect relative to the work, where running jobs have these paces.
     pub fn ratio(&self, now: Duration, running: Vec<f64>) -> f64 {
-        let usual = if self.seen == 0 { 1.0 } else { self.usual };
+        let usual = self.usual();
         let mut seen = running;
-        seen.extend(self.latest.recent(now));
-        if seen.len() < ENOUGH_RECENT {
+        if seen.len() < ENOUGH_RUNNING {
+            let latest: Vec<f64> = self.latest.recent(now).collect();
+            seen.extend(latest.iter().rev().take(LATEST));
+        }
+        if seen.len() < ENOUGH_RUNNING {
             return usual;
         }
-        let latest = median(seen).unwrap_or(usual);
-        if latest > DISTURBED_RATIO * usual { latest } else { usual }
+        let present = median(seen).unwrap_or(usual);
+        if present > DISTURBED_RATIO * usual { present } else { usual }
     }
 }
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -11,7 +11,7 @@
 
 use crate::id::{AgentId, RequestId, TaskName, TaskRun};
 use crate::job::{Answer, GiveUp, JobSpec, RefusalReason, StepSpec};
-use crate::place::{Candidate, EndpointStatus, Forecast, risk};
+use crate::place::{Candidate, Demand, EndpointStatus, Forecast};
 use crate::predict::Predictor;
 use crate::room::Room;
 
@@ -30,6 +30,8 @@
 const LATE_RISK: f64 = 0.7;
 /// Load of the endpoints from which late jobs are refused, so that others stay in time.
 const BUSY_LOAD: f64 = 0.9;
+/// Least time after which a refused caller may come back; load changes within it.
+const LEAST_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Time left to a caller below which a start is of no use.
 const LEAST_TIME: Duration = Duration::from_millis(15);
 /// Step between run numbers where an endpoint has seen a higher one, from an earlier attempt of the
@@ -84,10 +86,8 @@
     pub work: std::sync::Arc<str>,
     /// What the task needs.
     pub need: Room,
-    /// Run time expected there.
-    pub expected: Duration,
-    /// Run time that the caller declares.
-    pub declared: Duration,
+    /// Work expected: the run time on an endpoint of speed 1.
+    pub work_time: Duration,
     /// Time within which a start serves the objective; zero where it is missed already.
     pub start_within: Duration,
     /// Time after which a start is of no use.
@@ -236,7 +236,6 @@
     jobs: SortedMap<RequestId, Job>,
     predictor: Predictor,
     actions: Vec<Action>,
-    turn: usize,
 }
 
 /// Why a job is not admitted.
@@ -251,7 +250,7 @@
 struct Choice {
     agent: AgentId,
     forecast: Forecast,
-    risk: f64,
+    work: Duration,
 }
 
 impl Scheduler {
@@ -263,7 +262,6 @@
             jobs: SortedMap::new(),
             predictor: Predictor::default(),
             actions: Vec::new(),
-            turn: 0,
         }
     }
 
@@ -320,7 +318,7 @@
             queue: job.spec.queue.clone(),
             tasks: job.tasks.len(),
             load: self.load(&job.spec.service),
-            objective: job.left(now),
+            objective: job.objective.saturating_sub(now),
             deadline: job.deadline.saturating_sub(now),
         };
         self.actions.push(Action::Record(decision));
@@ -336,7 +334,7 @@
             load: self.load(&job.spec.service),
             endpoints: self.usable_endpoints(now),
             end,
-            objective: job.left(now),
+            objective: job.objective.saturating_sub(now),
         };
         self.actions.push(Action::Record(decision));
         self.actions.push(Action::Answer(id, Answer::Refused { reason, retry_after }));
@@ -348,8 +346,8 @@
         let mut taken: Vec<(AgentId, Room)> = Vec::new();
         let firsts = job.spec.steps.iter().filter(|step| step.after.is_empty());
         for step in firsts {
-            for _ in 0..step.count {
-                let choice = self.choose(now, &job.spec, step, job.left(now), None, &[]);
+            for turn in 0..step.count {
+                let choice = self.choose(now, job, step, turn as usize, None, &[]);
                 let Some(choice) = choice else {
                     self.unplan(&taken);
                     return Err(self.no_place(now, &job.spec, step));
@@ -368,13 +366,13 @@
         let Some(longest) = longest else {
             return Ok(());
         };
-        let end = longest.forecast.end();
-        let unanswered = risk(&longest.forecast, job.deadline.saturating_sub(now));
-        let is_hopeless = unanswered > HOPELESS_RISK;
-        let is_late = longest.risk > LATE_RISK && self.load(&job.spec.service) > BUSY_LOAD;
+        let forecast = longest.forecast;
+        let is_hopeless = forecast.unanswered > HOPELESS_RISK;
+        let is_late = forecast.late > LATE_RISK && self.load(&job.spec.service) > BUSY_LOAD;
         if is_hopeless || is_late {
-            let excess = (now + end).saturating_sub(job.objective).max(longest.forecast.wait);
-            return Err(Refused { reason: RefusalReason::Load, end, retry_after: excess });
+            let retry_after = forecast.wait.max(LEAST_RETRY_AFTER);
+            let end = forecast.end();
+            return Err(Refused { reason: RefusalReason::Load, end, retry_after });
         }
         Ok(())
     }
@@ -411,34 +409,44 @@
         if size > 0.0 { 1.0 - free / size } else { 1.0 }
     }
 
-    /// Chooses the endpoint for a task; `left` is the time until its objective.
+    /// Chooses the endpoint for a task.
+    ///
+    /// Where there are many endpoints, a part of them is considered that changes with `turn`.
     fn choose(
-        &mut self,
+        &self,
         now: Duration,
-        spec: &JobSpec,
+        job: &Job,
         step: &StepSpec,
-        left: Duration,
+        turn: usize,
         avoid: Option<&AgentId>,
         used: &[(AgentId, u32)],
     ) -> Option<Choice> {
-        self.turn = self.turn.wrapping_add(1);
         let suspect_after = self.settings.suspect_after;
         let count = self.endpoints.len();
         let stride = count.div_ceil(MAX_CANDIDATES).max(1);
         let sick = self.sick_limit(now);
-        let ratio = self.predictor.ratio(&spec.queue);
-        let mut best: Option<(f64, &AgentId, Forecast, f64)> = None;
+        let spec = &job.spec;
+        let work = self.predictor.work(&spec.queue, step.declared);
+        let demand = Demand {
+            need: step.need,
+            work,
+            others: spec.longest_chain().saturating_sub(step.declared),
+            terms: spec.terms,
+            elapsed: now.saturating_sub(job.sent_at),
+            patience: job.deadline.saturating_sub(now),
+        };
+        let mut best: Option<(f64, &AgentId, Forecast)> = None;
         for (at, (agent, known)) in self.endpoints.iter().enumerate() {
-            if at % stride != self.turn % stride || !known.is_usable(now, suspect_after) {
+            if at % stride != turn % stride || !known.is_usable(now, suspect_after) {
                 continue;
             }
             if !known.suits(&spec.service, step) || is_full(step, agent, used) {
                 continue;
             }
             let far = step.near.as_ref().is_some_and(|near| *near != known.status.rack);
-            let candidate = Candidate { status: &known.status, free: known.free(), ratio, far };
-            let forecast = candidate.forecast(step.need, step.declared, left);
-            let mut cost = candidate.cost(step.need, &forecast, left);
+            let candidate = Candidate { status: &known.status, free: known.free(), far };
+            let forecast = candidate.forecast(&demand);
+            let mut cost = candidate.cost(step.need, &forecast);
             if avoid == Some(agent) {
                 cost += 2.0;
             }
@@ -446,10 +454,14 @@
                 cost += 4.0;
             }
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                best = Some((cost, agent, forecast, risk(&forecast, left)));
+                best = Some((cost, agent, forecast));
             }
         }
-        best.map(|(_, agent, forecast, risk)| Choice { agent: agent.clone(), forecast, risk })
+        best.map(|(_, agent, forecast)| Choice {
+            agent: agent.clone(),
+            forecast,
+            work: work.median,
+        })
     }
 
     /// Returns the share of failures from which an endpoint counts as sick: where tasks fail
@@ -480,37 +492,33 @@
             return;
         };
         let (spec, name) = (job.spec.clone(), job.tasks[at].name.clone());
-        let (objective, deadline) = (job.objective.min(job.deadline), job.deadline);
-        let avoid = job.tasks[at].avoid.clone();
         let used = job.used(name.step);
         let step = &spec.steps[usize::from(name.step)];
-        let left = objective.saturating_sub(now);
-        let choice = self.choose(now, &spec, step, left, avoid.as_ref(), &used);
+        let choice =
+            self.choose(now, job, step, job.tasks[at].turn(), job.tasks[at].avoid.as_ref(), &used);
         let Some(choice) = choice else {
             self.wait_or_end(now, id, at);
             return;
         };
-        let end = choice.forecast.end();
-        if now + end.saturating_sub(choice.forecast.wait).min(LEAST_TIME) > deadline {
+        let forecast = choice.forecast;
+        if forecast.unanswered > HOPELESS_RISK {
             self.end_unserved(now, id);
             return;
         }
-        let run_end = end - choice.forecast.wait;
-        let start_within = left.saturating_sub(run_end);
-        let give_up = deadline.saturating_sub(now + run_end.mul_f64(0.8));
+        let patience = job.deadline.saturating_sub(now);
+        let give_up = patience.saturating_sub(forecast.run.mul_f64(0.7));
         let most_here = step.most_per_endpoint;
         let need = step.need;
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        let run = job.tasks[at].send(now, &choice.agent, choice.forecast.run);
+        let run = job.tasks[at].send(&choice.agent, forecast.run, choice.work);
         let order = TaskOrder {
             run,
             work: spec.work.clone(),
             need,
-            expected: choice.forecast.run,
-            declared: step.declared,
-            start_within,
+            work_time: choice.work,
+            start_within: forecast.slack,
             give_up: give_up.max(LEAST_TIME),
             most_here,
         };
@@ -521,9 +529,9 @@
         let decision = Decision::Sent {
             run: order.run.clone(),
             agent: choice.agent.clone(),
-            wait: choice.forecast.wait,
-            takes: choice.forecast.run,
-            risk: choice.risk,
+            wait: forecast.wait,
+            takes: forecast.run,
+            risk: forecast.late,
             age: now.saturating_sub(known.heard_at),
         };
         self.actions.push(Action::Record(decision));
@@ -693,15 +701,15 @@
         let Some(job) = self.jobs.get_mut(&name.request) else {
             return;
         };
-        let TaskState::Sent { expected, .. } =
-            std::mem::replace(&mut job.tasks[at].state, TaskState::Done)
-        else {
+        let declared = job.spec.steps[usize::from(name.step)].declared;
+        let former = std::mem::replace(&mut job.tasks[at].state, TaskState::Done);
+        let TaskState::Sent { expected, work, .. } = former else {
             return;
         };
-        let ratio = self.predictor.ratio(&job.spec.queue).mean;
-        // What the queue's own ratio has added to the expected time is taken out again.
-        let expected = expected.mul_f64(1.0 / ratio.max(0.1));
-        self.predictor.observe(&job.spec.queue, expected, took);
+        // The speed of the endpoint is what was expected there for the work that was expected.
+        let speed = expected.as_secs_f64() / work.as_secs_f64().max(0.001);
+        let work = took.mul_f64(1.0 / speed.max(0.01));
+        self.predictor.observe(&job.spec.queue, declared, work);
         if job.is_done() {
             self.end(&name.request, Some(Answer::Completed));
         } else {
@@ -734,14 +742,14 @@
         let Some(job) = self.jobs.get(&name.request) else {
             return;
         };
-        let (objective, deadline) = (job.objective.min(job.deadline), job.deadline);
-        let spec = job.spec.clone();
-        let step = &spec.steps[usize::from(name.step)];
-        let until_objective = objective.saturating_sub(now);
-        let choice = self.choose(now, &spec, step, until_objective, Some(agent), &[]);
+        let step = &job.spec.steps[usize::from(name.step)];
+        let choice = self.choose(now, job, step, job.tasks[at].turn(), Some(agent), &[]);
         let Some(choice) = choice.filter(|choice| choice.agent != *agent) else {
             return;
         };
+        let deadline = job.deadline;
+        let promised = choice.work.mul_f64(job.spec.terms.stretch) + job.spec.terms.target;
+        let objective = (job.sent_at + promised).min(deadline);
         let there = now + MOVE_TIME + choice.forecast.end();
         let here = now + left;
         let saves_objective = here > objective && there <= objective;
--- a/crates/dispatch/src/scheduler/task.rs
+++ b/crates/dispatch/src/scheduler/task.rs
@@ -13,7 +13,7 @@
     /// At the entry.
     Waiting,
     /// At an agent, as far as is known.
-    Sent { agent: AgentId, at: Duration, expected: Duration, recalled: bool },
+    Sent { agent: AgentId, expected: Duration, work: Duration, recalled: bool },
     /// Done.
     Done,
 }
@@ -43,14 +43,19 @@
         }
     }
 
+    /// Returns a number that differs between tasks and between runs.
+    pub(super) fn turn(&self) -> usize {
+        self.name.index as usize + self.runs as usize
+    }
+
     /// Tells whether no agent has it and none had.
     pub(super) fn is_idle(&self) -> bool {
         self.state == TaskState::Waiting && !self.may_have_started
     }
 
-    pub(super) fn send(&mut self, now: Duration, agent: &AgentId, expected: Duration) -> TaskRun {
+    pub(super) fn send(&mut self, agent: &AgentId, expected: Duration, work: Duration) -> TaskRun {
         self.runs += 1;
-        self.state = TaskState::Sent { agent: agent.clone(), at: now, expected, recalled: false };
+        self.state = TaskState::Sent { agent: agent.clone(), expected, work, recalled: false };
         TaskRun { task: self.name.clone(), run: self.runs }
     }
 
@@ -78,6 +83,9 @@
 /// An open job.
 pub(super) struct Job {
     pub(super) spec: std::sync::Arc<JobSpec>,
+    /// When the caller sent the request, as far as can be told.
+    pub(super) sent_at: Duration,
+    /// When it is to be done if the declared times are right.
     pub(super) objective: Duration,
     pub(super) deadline: Duration,
     /// In the order of their names.
@@ -92,6 +100,7 @@
         let name = |(step, index)| TaskName { request: spec.id.clone(), step, index };
         let tasks = names.map(|at| Task::new(name(at))).collect();
         Self {
+            sent_at: now.saturating_sub(transfer),
             objective: now + promised.saturating_sub(transfer),
             deadline: now + spec.patience.saturating_sub(transfer),
             tasks,
@@ -99,11 +108,6 @@
         }
     }
 
-    /// Returns the time until the objective, or until the caller gives up where that is earlier.
-    pub(super) fn left(&self, now: Duration) -> Duration {
-        self.objective.min(self.deadline).saturating_sub(now)
-    }
-
     pub(super) fn index_of(&self, name: &TaskName) -> Option<usize> {
         self.tasks.binary_search_by(|task| task.name.cmp(name)).ok()
     }
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -293,6 +293,12 @@
         for wire in frame.orders {
             match order_of(wire) {
                 Some(order) => {
+                    log::debug!(
+                        "agent: event=order task={} work_ms={} slowness={:.2}",
+                        order.run,
+                        order.work_time.as_millis(),
+                        self.executor.status(now).slowness
+                    );
                     self.executor.on_order(now, Order { entry: entry.clone(), order });
                 }
                 None => log::warn!("agent: event=bad-order entry={entry}"),
@@ -336,7 +342,10 @@
 
     fn tell(&mut self, entry: &EntryName, event: &TaskEvent) {
         match event.fate {
-            Fate::Done(took) => self.metrics.time("task_done", took),
+            Fate::Done(took) => {
+                self.metrics.time("task_done", took);
+                log::debug!("agent: event=done task={} ms={}", event.run, took.as_millis());
+            }
             fate => {
                 self.metrics.count("task_not_done");
                 log::info!("agent: event=task task={} entry={entry} fate={fate:?}", event.run);
