--- /dev/null
+++ b/crates/dispatch/tests/testsuite/scheduler.rs
@@ -0,0 +1,303 @@
+//! Admission, retry, rescue and the answer.
+
+use std::time::Duration;
+
+use cowslipwing_dispatch::{
+    Action, AgentId, Answer, Fate, RefusalReason, Scheduler, TaskEvent, TaskOrder,
+};
+use quickcheck::quickcheck;
+
+use crate::support::{agent, answers, job, ms, orders, scheduler_with, status};
+
+const START: Duration = Duration::from_secs(1);
+
+fn tell(
+    scheduler: &mut Scheduler,
+    now: Duration,
+    sent: &(AgentId, TaskOrder),
+    fate: Fate,
+) -> Vec<Action> {
+    let event = TaskEvent { run: sent.1.run.clone(), fate };
+    scheduler.on_task(now, &sent.0, &event);
+    scheduler.take_actions()
+}
+
+#[test]
+fn a_job_is_complete_once_all_its_tasks_are() {
+    let mut scheduler = scheduler_with(START, &[status(32_000, 1.0)]);
+    scheduler.submit(START, job("a1", 2, 1000, ms(50)));
+    let sent = orders(&scheduler.take_actions());
+    let done = Fate::Done(ms(50));
+    assert!(answers(&tell(&mut scheduler, START, &sent[0], done)).is_empty());
+    let last = answers(&tell(&mut scheduler, START, &sent[1], done));
+    assert_eq!(last, [("a1".to_owned(), Answer::Completed)]);
+}
+
+#[test]
+fn jobs_that_cannot_run_are_refused_at_once() {
+    struct Case {
+        name: &'static str,
+        endpoints: usize,
+        cpu_millis: u32,
+        declared: Duration,
+        reason: RefusalReason,
+    }
+    let cases = [
+        Case {
+            name: "no endpoint",
+            endpoints: 0,
+            cpu_millis: 1000,
+            declared: ms(50),
+            reason: RefusalReason::NoEndpoint,
+        },
+        Case {
+            name: "larger than any endpoint",
+            endpoints: 2,
+            cpu_millis: 99_000,
+            declared: ms(50),
+            reason: RefusalReason::TooLarge,
+        },
+        Case {
+            name: "longer than its caller waits",
+            endpoints: 2,
+            cpu_millis: 1000,
+            declared: ms(60_000),
+            reason: RefusalReason::Load,
+        },
+    ];
+    for case in cases {
+        let endpoints: Vec<_> = (0..case.endpoints).map(|_| status(32_000, 1.0)).collect();
+        let mut scheduler = scheduler_with(START, &endpoints);
+        scheduler.submit(START, job("a1", 1, case.cpu_millis, case.declared));
+        let actions = scheduler.take_actions();
+        assert!(orders(&actions).is_empty(), "{}", case.name);
+        let answer = answers(&actions).pop().map(|(_, answer)| answer);
+        let refused =
+            matches!(answer, Some(Answer::Refused { reason, .. }) if reason == case.reason);
+        assert!(refused, "{}: {answer:?}", case.name);
+        assert_eq!(scheduler.open_jobs(), 0, "{}", case.name);
+    }
+}
+
+/// Load pattern: more arrives than endpoints can do; what would be late is refused at once, with a
+/// time to come back, and what is in time is still taken.
+#[test]
+fn under_overload_what_would_be_late_is_refused() {
+    let mut full = status(32_000, 1.0);
+    full.free.cpu_millis = 0;
+    full.queued.add(Some(ms(20)), 30_000);
+    let mut scheduler = scheduler_with(START, &[full]);
+    scheduler.submit(START, job("short", 1, 3000, ms(60)));
+    let actions = scheduler.take_actions();
+    let Some((_, Answer::Refused { reason, retry_after })) = answers(&actions).pop() else {
+        panic!("refused: {actions:?}");
+    };
+    assert_eq!(reason, RefusalReason::Load);
+    assert!(retry_after >= ms(100));
+    scheduler.submit(START, job("long", 1, 3000, ms(800)));
+    assert_eq!(orders(&scheduler.take_actions()).len(), 1);
+}
+
+#[test]
+fn a_failed_task_runs_elsewhere_until_its_attempts_are_used_up() {
+    let endpoints = [status(32_000, 1.0), status(32_000, 1.0), status(32_000, 1.0)];
+    let mut scheduler = scheduler_with(START, &endpoints);
+    scheduler.submit(START, job("a1", 1, 1000, ms(50)));
+    let first = orders(&scheduler.take_actions());
+    let second = orders(&tell(&mut scheduler, START, &first[0], Fate::Failed));
+    assert_ne!(second[0].0, first[0].0);
+    assert_eq!(second[0].1.run.run, 2);
+    let third = orders(&tell(&mut scheduler, START, &second[0], Fate::Failed));
+    let last = answers(&tell(&mut scheduler, START, &third[0], Fate::Failed));
+    assert_eq!(last, [("a1".to_owned(), Answer::Failed)]);
+}
+
+#[test]
+fn lost_runs_are_no_failed_attempts() {
+    let mut scheduler = scheduler_with(START, &[status(32_000, 1.0), status(32_000, 1.0)]);
+    scheduler.submit(START, job("a1", 1, 1000, ms(50)));
+    let mut sent = orders(&scheduler.take_actions());
+    for _ in 0..6 {
+        let actions = tell(&mut scheduler, START, &sent[0], Fate::Stopped);
+        assert!(answers(&actions).is_empty());
+        sent = orders(&actions);
+        assert_eq!(sent.len(), 1);
+    }
+}
+
+/// A job that has run in part is given up, not refused, and what still runs is taken back.
+#[test]
+fn at_the_deadline_a_started_job_is_given_up() {
+    let mut scheduler = scheduler_with(START, &[status(32_000, 1.0)]);
+    scheduler.submit(START, job("a1", 2, 1000, ms(50)));
+    let sent = orders(&scheduler.take_actions());
+    tell(&mut scheduler, START, &sent[0], Fate::Done(ms(50)));
+    scheduler.on_heard(START + ms(1490), &agent(0));
+    scheduler.on_tick(START + ms(1500));
+    let actions = scheduler.take_actions();
+    assert!(matches!(answers(&actions)[..], [(_, Answer::GaveUp { .. })]));
+    let recalls = actions.iter().filter(|action| matches!(action, Action::Recall(..)));
+    assert_eq!(recalls.count(), 1);
+}
+
+#[test]
+fn a_caller_that_leaves_ends_its_job() {
+    let mut scheduler = scheduler_with(START, &[status(32_000, 1.0)]);
+    scheduler.submit(START, job("a1", 3, 1000, ms(50)));
+    scheduler.take_actions();
+    assert!(scheduler.cancel(&"a1".parse().unwrap()));
+    let actions = scheduler.take_actions();
+    let recalls = actions.iter().filter(|action| matches!(action, Action::Recall(..)));
+    assert_eq!(recalls.count(), 3);
+    assert!(answers(&actions).is_empty());
+}
+
+/// Load pattern: an endpoint turns slow under its tasks.
+#[test]
+fn a_slow_task_moves_only_where_that_helps() {
+    struct Case {
+        name: &'static str,
+        left: Duration,
+        other: f64,
+        moves: bool,
+    }
+    let cases = [
+        Case { name: "hangs", left: ms(60_000), other: 1.0, moves: true },
+        Case { name: "still in time", left: ms(40), other: 1.0, moves: false },
+        Case { name: "the other one is no faster", left: ms(700), other: 8.0, moves: false },
+    ];
+    for case in cases {
+        let mut scheduler = scheduler_with(START, &[status(32_000, 1.0)]);
+        scheduler.submit(START, job("a1", 1, 1000, ms(100)));
+        let sent = orders(&scheduler.take_actions());
+        scheduler.on_attached(START, &agent(1), &[]);
+        scheduler.on_status(START, &agent(1), status(32_000, case.other));
+        scheduler.take_actions();
+        let actions = tell(&mut scheduler, START + ms(60), &sent[0], Fate::Slow(case.left));
+        let recalled = actions.iter().any(|action| matches!(action, Action::Recall(..)));
+        assert_eq!(recalled, case.moves, "{}", case.name);
+        // The next run waits until the former one has ended.
+        assert!(orders(&actions).is_empty(), "{}", case.name);
+    }
+}
+
+/// Between the last sign of life of an agent and the end of all leases nothing it was sent runs
+/// anywhere else.
+#[test]
+fn tasks_of_a_silent_agent_wait_for_its_leases() {
+    let mut scheduler = scheduler_with(START, &[status(32_000, 1.0)]);
+    scheduler.submit(START, job("a1", 1, 1000, ms(50)));
+    scheduler.take_actions();
+    let other = agent(1);
+    let mut resent_at = None;
+    for step in 1..140 {
+        let now = START + ms(step * 10);
+        scheduler.on_attached(now, &other, &[]);
+        scheduler.on_status(now, &other, status(32_000, 1.0));
+        scheduler.on_tick(now);
+        let sent = orders(&scheduler.take_actions());
+        if resent_at.is_none() && !sent.is_empty() {
+            resent_at = Some(now - START);
+        }
+    }
+    assert_eq!(resent_at, Some(ms(1100)));
+}
+
+#[test]
+fn an_agent_that_comes_back_tells_what_it_never_received() {
+    let mut scheduler = scheduler_with(START, &[status(32_000, 1.0)]);
+    scheduler.submit(START, job("a1", 2, 1000, ms(50)));
+    let sent = orders(&scheduler.take_actions());
+    scheduler.on_detached(START, &agent(0));
+    scheduler.on_attached(START + ms(50), &agent(0), &[sent[0].1.run.clone()]);
+    scheduler.on_status(START + ms(50), &agent(0), status(32_000, 1.0));
+    let again = orders(&scheduler.take_actions());
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].1.run.task, sent[1].1.run.task);
+}
+
+#[test]
+fn steps_wait_for_those_they_depend_on() {
+    let mut scheduler = scheduler_with(START, &[status(32_000, 1.0)]);
+    let mut spec = job("a1", 2, 1000, ms(20));
+    let mut second = spec.steps[0].clone();
+    second.after = vec![0];
+    spec.steps.push(second);
+    scheduler.submit(START, spec);
+    let first = orders(&scheduler.take_actions());
+    assert!(first.iter().all(|(_, order)| order.run.task.step == 0));
+    let done = Fate::Done(ms(20));
+    assert!(orders(&tell(&mut scheduler, START, &first[0], done)).is_empty());
+    let second = orders(&tell(&mut scheduler, START, &first[1], done));
+    assert_eq!(second.len(), 2);
+    assert!(second.iter().all(|(_, order)| order.run.task.step == 1));
+}
+
+/// One random event, drawn from two bytes.
+fn step(
+    scheduler: &mut Scheduler,
+    now: Duration,
+    open: &mut Vec<(AgentId, TaskOrder)>,
+    (kind, pick): (u8, u8),
+) -> Option<Fate> {
+    if open.is_empty() {
+        return None;
+    }
+    let at = usize::from(pick) % open.len();
+    let fate = match kind % 6 {
+        0 => Fate::Done(ms(50)),
+        1 => Fate::Failed,
+        2 => Fate::NotStarted,
+        3 => Fate::StaleRun,
+        4 => Fate::Stopped,
+        _ => {
+            scheduler.on_tick(now);
+            return None;
+        }
+    };
+    let (agent, order) = open.remove(at);
+    scheduler.on_task(now, &agent, &TaskEvent { run: order.run, fate });
+    Some(fate)
+}
+
+quickcheck! {
+    /// Whatever agents tell: a task is at one agent at most, its runs have rising numbers, the job is
+    /// answered once, and a refusal only follows where nothing may have run.
+    fn answers_are_true(events: Vec<(u8, u8)>) -> bool {
+        let mut scheduler = scheduler_with(START, &[status(32_000, 1.0), status(32_000, 1.2)]);
+        scheduler.submit(START, job("a1", 3, 1000, ms(50)));
+        let mut open: Vec<(AgentId, TaskOrder)> = Vec::new();
+        let mut runs = [0; 3];
+        let (mut may_have_run, mut answered) = (false, 0);
+        let mut now = START;
+        for event in std::iter::once((5, 0)).chain(events) {
+            now += ms(7);
+            for number in 0..2 {
+                scheduler.on_heard(now, &agent(number));
+            }
+            let fate = step(&mut scheduler, now, &mut open, event);
+            may_have_run |=
+                matches!(fate, Some(Fate::Done(_) | Fate::Failed | Fate::Stopped));
+            let actions = scheduler.take_actions();
+            for (agent, order) in orders(&actions) {
+                let task = order.run.task.index as usize;
+                if order.run.run <= runs[task] {
+                    return false;
+                }
+                if open.iter().any(|(_, other)| other.run.task == order.run.task) {
+                    return false;
+                }
+                runs[task] = order.run.run;
+                open.push((agent, order));
+            }
+            for (_, answer) in answers(&actions) {
+                answered += 1;
+                let refused = matches!(answer, Answer::Refused { .. });
+                if refused && (may_have_run || !open.is_empty()) {
+                    return false;
+                }
+            }
+        }
+        answered <= 1
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/testsuite/support.rs
@@ -0,0 +1,98 @@
+//! Short ways to say what tests need.
+
+use std::time::Duration;
+
+use cowslipwing_dispatch::{
+    Action, AgentId, Answer, EndpointStatus, FreeRoom, JobSpec, QueuedCpu, Room, Scheduler,
+    SchedulerSettings, StepSpec, TaskOrder, Terms,
+};
+
+/// Settings as the daemons use them.
+pub const SETTINGS: SchedulerSettings = SchedulerSettings {
+    entry_lease: Duration::from_millis(600),
+    endpoint_lease: Duration::from_millis(500),
+    suspect_after: Duration::from_millis(400),
+};
+
+pub const TERMS: Terms =
+    Terms { max_attempts: 3, stretch: 1.6, target: Duration::from_millis(60), priority: 0 };
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub fn agent(number: usize) -> AgentId {
+    format!("side-{number}@1").parse().unwrap()
+}
+
+pub fn room(cpu_millis: u32) -> Room {
+    Room { cpu_millis, memory_mb: 64, gpus: 0 }
+}
+
+/// Returns a job of one step.
+pub fn job(id: &str, count: u32, cpu_millis: u32, declared: Duration) -> JobSpec {
+    let step = StepSpec {
+        count,
+        need: room(cpu_millis),
+        declared,
+        after: Vec::new(),
+        label: None,
+        near: None,
+        most_per_endpoint: 0,
+    };
+    JobSpec {
+        id: id.parse().unwrap(),
+        queue: "q".into(),
+        service: "desk".into(),
+        work: "do it".into(),
+        steps: vec![step],
+        terms: TERMS,
+        patience: ms(1500),
+    }
+}
+
+/// Returns an idle endpoint.
+pub fn status(cpu_millis: u32, slowness: f64) -> EndpointStatus {
+    let capacity = Room { cpu_millis, memory_mb: 65536, gpus: 0 };
+    EndpointStatus {
+        usable: true,
+        service: "desk".into(),
+        kind: "a".into(),
+        rack: "r1".into(),
+        capacity,
+        free: FreeRoom::of(capacity),
+        queued: QueuedCpu::default(),
+        turnover: ms(100),
+        slowness,
+        failing: 0.0,
+        orders_seen: 0,
+    }
+}
+
+/// Returns a scheduler with these endpoints attached.
+pub fn scheduler_with(now: Duration, endpoints: &[EndpointStatus]) -> Scheduler {
+    let mut scheduler = Scheduler::new(SETTINGS);
+    for (number, status) in endpoints.iter().enumerate() {
+        scheduler.on_attached(now, &agent(number), &[]);
+        scheduler.on_status(now, &agent(number), status.clone());
+    }
+    scheduler
+}
+
+/// Returns the orders among some actions.
+pub fn orders(actions: &[Action]) -> Vec<(AgentId, TaskOrder)> {
+    let order = |action: &Action| match action {
+        Action::Order(agent, order) => Some((agent.clone(), order.clone())),
+        _ => None,
+    };
+    actions.iter().filter_map(order).collect()
+}
+
+/// Returns the answers among some actions.
+pub fn answers(actions: &[Action]) -> Vec<(String, Answer)> {
+    let answer = |action: &Action| match action {
+        Action::Answer(id, answer) => Some((id.to_string(), *answer)),
+        _ => None,
+    };
+    actions.iter().filter_map(answer).collect()
+}
