--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -56,7 +56,7 @@
         let ready = listen("platform.ready", config.ready).await?;
         let peers = listen("platform.peer_port", (common.ip, common.peer_port).into()).await?;
         let stage = watch::Sender::new(Stage::Serving);
-        let shared = Arc::new(Shared::new(common, clock, metrics.clone()));
+        let shared = Arc::new(Shared::new(common, config.advertise, clock, metrics.clone()));
         log::info!(
             "entry: event=start entry={} callers={} peers={} seeds={:?}",
             shared.name,
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -66,6 +66,7 @@
 impl Shared {
     pub(super) fn new(
         config: &PlatformConfig,
+        address: SocketAddr,
         clock: Arc<dyn Clock>,
         metrics: Arc<Metrics>,
     ) -> Self {
@@ -76,7 +77,6 @@
             endpoint_lease: ENDPOINT_LEASE.min(config.longest_lease),
             suspect_after: SUSPECT_AFTER,
         };
-        let address = SocketAddr::new(config.ip, config.peer_port);
         let members = Members::new(&config.seeds);
         members.add([address]);
         Self {
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -81,8 +81,11 @@
 }
 
 fn check_platform_entry(raw: &proto::PlatformSettings) -> Checked<PlatformEntryConfig> {
+    let common = check_platform(raw)?;
+    let advertise = optional_address("platform.advertise", &raw.advertise)?;
     Ok(PlatformEntryConfig {
-        common: check_platform(raw)?,
+        advertise: advertise.unwrap_or(SocketAddr::new(common.ip, common.peer_port)),
+        common,
         callers: address("platform.callers", &raw.callers)?,
         ready: address("platform.ready", &raw.ready)?,
     })
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -70,6 +70,8 @@
     pub callers: SocketAddr,
     /// Address at which the platform asks whether it is ready.
     pub ready: SocketAddr,
+    /// Address under which agents and other entries reach this one.
+    pub advertise: SocketAddr,
 }
 
 /// Settings of an agent on the platform.
--- /dev/null
+++ b/crates/soak/src/process.rs
@@ -0,0 +1,72 @@
+//! Processes that the soak starts, and signals to them by their ids.
+
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+/// A daemon with its settings; dropping it ends the process.
+pub(crate) struct Daemon {
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Daemon {
+    /// Starts a daemon.
+    pub(crate) fn start(program: &Path, settings: PathBuf, log: PathBuf) -> std::io::Result<Self> {
+        let mut daemon = Self { program: program.to_owned(), settings, log, child: None };
+        daemon.restart()?;
+        Ok(daemon)
+    }
+
+    /// Starts the daemon where it does not run.
+    pub(crate) fn restart(&mut self) -> std::io::Result<()> {
+        if self.is_running() {
+            return Ok(());
+        }
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.program)
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Tells whether the process runs.
+    pub(crate) fn is_running(&mut self) -> bool {
+        let Some(child) = &mut self.child else {
+            return false;
+        };
+        matches!(child.try_wait(), Ok(None))
+    }
+
+    /// Sends a signal.
+    pub(crate) fn signal(&mut self, signal: Signal) {
+        if !self.is_running() {
+            return;
+        }
+        if let Some(child) = &self.child {
+            let pid = i32::try_from(child.id()).expect("a process id is a small number");
+            // The process may have ended just now.
+            let _ = kill(Pid::from_raw(pid), signal);
+        }
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.signal(Signal::SIGKILL);
+        if let Some(child) = &mut self.child {
+            // A process that was killed can always be waited for.
+            let _ = child.wait();
+        }
+    }
+}
