--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -65,6 +65,8 @@
     Frame {
         /// The entry.
         entry: EntryName,
+        /// Where frames to it go on the stream that brought this one.
+        tx: mpsc::UnboundedSender<AgentFrame>,
         /// The frame.
         frame: EntryFrame,
     },
@@ -180,7 +182,14 @@
                 self.on_stream(now, entry, address, tx, first);
             }
             Event::StreamDown { entry, tx } => self.on_stream_down(&entry, &tx),
-            Event::Frame { entry, frame } => self.on_frame(now, &entry, frame),
+            Event::Frame { entry, tx, frame } => {
+                // What the entry was told on a later stream does not count orders of an earlier one.
+                let is_current =
+                    self.streams.get(&entry).is_some_and(|stream| stream.tx.same_channel(&tx));
+                if is_current {
+                    self.on_frame(now, &entry, frame);
+                }
+            }
             Event::Leave => {
                 self.leaving = true;
                 self.executor.leave();
--- a/crates/node/src/agent/streams.rs
+++ b/crates/node/src/agent/streams.rs
@@ -1,9 +1,10 @@
 //! Streams to the entries.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use cowslipwing_dispatch::EntryName;
 use cowslipwing_platform::{StoreClient, Topic};
 use cowslipwing_proto::dispatch_client::DispatchClient;
 use cowslipwing_proto::{AgentFrame, EntryFrame};
@@ -53,11 +54,12 @@
 ) {
     let mut changes = members.changes();
     let mut served: Vec<SocketAddr> = Vec::new();
+    let attached = Attached::default();
     loop {
         for address in members.list() {
             if cowslipwing_types::insert_sorted(&mut served, address) {
                 log::info!("agent: event=entry-known agent={agent} site={site} entry={address}");
-                tokio::spawn(keep_stream(address, events.clone()));
+                tokio::spawn(keep_stream(address, events.clone(), attached.clone()));
             }
         }
         if changes.changed().await.is_err() {
@@ -66,10 +68,33 @@
     }
 }
 
-async fn keep_stream(address: SocketAddr, events: mpsc::UnboundedSender<Event>) {
+/// The entries that have a stream; one that is known by two addresses gets only one.
+#[derive(Clone, Default)]
+struct Attached {
+    entries: Arc<Mutex<Vec<EntryName>>>,
+}
+
+impl Attached {
+    /// Adds an entry; false where it has a stream already.
+    fn add(&self, entry: &EntryName) -> bool {
+        let mut entries = self.entries.lock().expect("no holder of the attached entries panics");
+        cowslipwing_types::insert_sorted(&mut entries, entry.clone())
+    }
+
+    fn remove(&self, entry: &EntryName) {
+        let mut entries = self.entries.lock().expect("no holder of the attached entries panics");
+        entries.retain(|other| other != entry);
+    }
+}
+
+async fn keep_stream(
+    address: SocketAddr,
+    events: mpsc::UnboundedSender<Event>,
+    attached: Attached,
+) {
     let mut pause = FIRST_PAUSE;
     loop {
-        match run_stream(address, &events).await {
+        match run_stream(address, &events, &attached).await {
             Ok(reason) => {
                 log::info!("agent: event=stream-ended entry={address} reason={reason}");
                 pause = FIRST_PAUSE;
@@ -87,6 +112,7 @@
 async fn run_stream(
     address: SocketAddr,
     events: &mpsc::UnboundedSender<Event>,
+    attached: &Attached,
 ) -> Result<&'static str, String> {
     let endpoint = Endpoint::try_from(format!("http://{address}")).map_err(|e| e.to_string())?;
     let endpoint = endpoint.connect_timeout(CONNECT_LIMIT).tcp_nodelay(true);
@@ -100,24 +126,28 @@
         Ok::<_, String>((frames, first.ok_or("the stream ended at once")?))
     };
     let (frames, first) = timeout(STREAM_SILENCE, attach).await.map_err(|e| e.to_string())??;
-    let entry = first.entry.parse().map_err(|_| "the entry's name is not valid")?;
-    let entry: cowslipwing_dispatch::EntryName = entry;
+    let entry: EntryName = first.entry.parse().map_err(|_| "the entry's name is not valid")?;
+    if !attached.add(&entry) {
+        return Err(format!("{entry} is attached by another address"));
+    }
     // The actor lives as long as the process.
     let _ = events.send(Event::StreamUp { entry: entry.clone(), address, tx: tx.clone(), first });
-    let reason = take_frames(frames, &entry, events).await;
-    let _ = events.send(Event::StreamDown { entry, tx });
+    let reason = take_frames(frames, &entry, &tx, events).await;
+    let _ = events.send(Event::StreamDown { entry: entry.clone(), tx });
+    attached.remove(&entry);
     Ok(reason)
 }
 
 async fn take_frames(
     mut frames: Streaming<EntryFrame>,
-    entry: &cowslipwing_dispatch::EntryName,
+    entry: &EntryName,
+    tx: &mpsc::UnboundedSender<AgentFrame>,
     events: &mpsc::UnboundedSender<Event>,
 ) -> &'static str {
     loop {
         match timeout(STREAM_SILENCE, frames.message()).await {
             Ok(Ok(Some(frame))) => {
-                let _ = events.send(Event::Frame { entry: entry.clone(), frame });
+                let _ = events.send(Event::Frame { entry: entry.clone(), tx: tx.clone(), frame });
             }
             Ok(Ok(None)) => return "closed",
             Ok(Err(_)) => return "broken",
