--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -38,6 +38,8 @@
     pub entry_lease: Duration,
     /// Lease of whatever runs at the endpoint.
     pub endpoint_lease: Duration,
+    /// Longest lease that the endpoint grants.
+    pub longest_lease: Duration,
 }
 
 /// What an endpoint says of itself.
@@ -248,11 +250,14 @@
         if self.listed_born.is_some_and(|born| report.born < born) {
             return false;
         }
+        // A listing may have told first.
+        let reborn = self.endpoint.as_ref().is_some_and(|known| known.born != report.born)
+            && self.listed_born != Some(report.born);
         let is_new = self
             .endpoint
             .as_ref()
             .is_none_or(|known| known.born != report.born || known.draining != report.draining);
-        if self.endpoint.as_ref().is_some_and(|known| known.born != report.born) {
+        if reborn {
             self.on_reborn();
         }
         let draining = report.draining;
@@ -278,7 +283,10 @@
         self.bounce_queued();
     }
 
-    /// What an earlier incarnation of the endpoint ran is gone.
+    /// Takes in that the endpoint has started anew, which ends what it ran.
+    ///
+    /// The next listing tells what is gone. A start on its way may reach the new incarnation, so that it
+    /// is ruled out like any other.
     fn on_reborn(&mut self) {
         self.listed_born = None;
         self.listed_at = None;
@@ -288,7 +296,20 @@
         self.foreign = SortedMap::new();
         self.speed = Speed::default();
         self.failures = Samples::default();
+        for (_, held) in self.held.iter_mut().filter(|(_, held)| held.phase != Phase::Queued) {
+            // Deadlines were on the former incarnation's clock.
+            held.until_ms = u64::MAX;
+            held.stop_confirmed = None;
+        }
+    }
+
+    /// Takes in that an incarnation with another id answers at the endpoint's address: what was sent to
+    /// the known one is refused there and gone.
+    pub fn on_other_incarnation(&mut self) {
+        self.on_reborn();
+        self.endpoint = None;
         self.lose_started();
+        self.bounce_queued();
     }
 
     fn lose_started(&mut self) {
@@ -502,12 +523,18 @@
 
     /// Takes in what the endpoint lists.
     pub fn on_listing(&mut self, now: Duration, listing: &Listing) {
-        if self.listed_born.is_some_and(|born| born > listing.born) {
+        // Only the latest request is answered, so that a listing asked for later is of the incarnation
+        // that is there, even where its clock has gone back.
+        if self.listed_at.is_some_and(|at| listing.asked_at < at) {
             return;
         }
         if self.listed_born.is_some_and(|born| born != listing.born) {
             self.on_reborn();
         }
+        if self.listed_born.is_none() && self.started() > 0 {
+            // A start on its way from before, with a deadline on another clock, gets the longest lease.
+            self.leased_until_ms = listing.clock_ms + millis(self.settings.longest_lease);
+        }
         self.listed_born = Some(listing.born);
         self.listed_at = Some(now);
         self.clock = Some((now, listing.clock_ms));
--- a/crates/dispatch/tests/testsuite/executor.rs
+++ b/crates/dispatch/tests/testsuite/executor.rs
@@ -52,7 +52,8 @@
 
 /// Returns an executor beside an empty endpoint, leased by one entry.
 fn executor() -> Executor {
-    let settings = ExecutorSettings { entry_lease: ms(600), endpoint_lease: ms(500) };
+    let settings =
+        ExecutorSettings { entry_lease: ms(600), endpoint_lease: ms(500), longest_lease: ms(1000) };
     let mut executor = Executor::new(settings);
     executor.on_report(START, report(1));
     executor.on_listing(START, &listing(START));
@@ -240,6 +241,50 @@
     assert!(!executor.on_report(at, report(9)));
 }
 
+/// Soak seed 1: the announcement of a new incarnation came after its first listing, and took what had
+/// started there since for lost.
+#[test]
+fn the_announcement_of_a_listed_incarnation_ends_nothing() {
+    let mut executor = executor();
+    let reborn_at = START + ms(50);
+    executor.on_listing(reborn_at, &Listing { born: 8, ..listing(reborn_at) });
+    executor.on_order(reborn_at, order(0, 1000, ms(500)));
+    executor.on_start_reply(reborn_at, &run(0), StartOutcome::Started);
+    executor.take_actions();
+    executor.on_report(START + ms(90), EndpointReport { born: 8, ..report(1) });
+    assert!(executor.take_actions().is_empty());
+    assert_eq!(executor.started(), 1);
+}
+
+/// An order that was on its way when the endpoint crashed may start at its new incarnation.
+#[test]
+fn a_start_on_its_way_over_a_crash_is_ruled_out_first() {
+    let mut executor = executor();
+    executor.on_order(START, order(0, 1000, ms(500)));
+    executor.take_actions();
+    let at = START + ms(10);
+    executor.on_listing(at, &Listing { born: 8, clock_ms: 3, ..listing(at) });
+    assert!(told(&executor.take_actions()).is_empty());
+    executor.on_tick(START + ms(31));
+    assert_eq!(executor.take_actions(), [ExecutorAction::Stop(run(0))]);
+    executor.on_stopped(START + ms(32), &run(0));
+    let at = START + ms(40);
+    executor.on_listing(at, &Listing { born: 8, clock_ms: 33, ..listing(at) });
+    assert_eq!(told(&executor.take_actions()), [(run(0), Fate::NotStarted)]);
+}
+
+/// A crashed endpoint whose clock has gone back announces an earlier start than the former one.
+#[test]
+fn another_incarnation_with_an_earlier_clock_is_taken() {
+    let mut executor = executor();
+    executor.on_order(START, order(0, 1000, ms(500)));
+    executor.take_actions();
+    executor.on_start_reply(START, &run(0), StartOutcome::Started);
+    executor.on_other_incarnation();
+    assert_eq!(told(&executor.take_actions()), [(run(0), Fate::Stopped)]);
+    assert!(executor.on_report(START, EndpointReport { id: "i-2".into(), born: 3, ..report(1) }));
+}
+
 /// Load pattern: everything on the endpoint stands still while its announcements stay good.
 #[test]
 fn an_endpoint_that_stands_still_shows_within_tens_of_milliseconds() {
--- a/crates/dispatch/tests/testsuite/world.rs
+++ b/crates/dispatch/tests/testsuite/world.rs
@@ -102,7 +102,11 @@
 
 impl World {
     fn new() -> Self {
-        let settings = ExecutorSettings { entry_lease: ms(600), endpoint_lease: ms(500) };
+        let settings = ExecutorSettings {
+            entry_lease: ms(600),
+            endpoint_lease: ms(500),
+            longest_lease: ms(1000),
+        };
         let mut world = Self {
             now: ms(10_000),
             executor: Executor::new(settings),
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -112,6 +112,7 @@
         let settings = ExecutorSettings {
             entry_lease: ENTRY_LEASE,
             endpoint_lease: ENDPOINT_LEASE.min(config.longest_lease),
+            longest_lease: config.longest_lease,
         };
         Self {
             id,
@@ -229,6 +230,10 @@
                     log::warn!("agent: event=endpoint-lost error=\"{error}\"");
                 }
                 self.reachable = false;
+                if matches!(error, EndpointError::OtherIncarnation) {
+                    log::info!("agent: event=other-incarnation endpoint={}", self.endpoint_id());
+                    self.executor.on_other_incarnation();
+                }
             }
         }
         self.mark_stale();
