--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -594,14 +594,15 @@
         }
         held.on_progress(now, progress.percent);
         let usual = self.speed.usual();
-        let Some(left) = held.slow_left(usual, disturbed) else {
+        let slow = held.slow_left(usual, disturbed).map(Fate::Slow);
+        let Some(fate) = slow.or_else(|| held.overrun(now).map(Fate::Overrun)) else {
             return;
         };
         if held.told_at.is_some_and(|at| now < at + TELL_AGAIN) {
             return;
         }
         held.told_at = Some(now);
-        let event = TaskEvent { run: run.clone(), fate: Fate::Slow(left) };
+        let event = TaskEvent { run: run.clone(), fate };
         self.actions.push(ExecutorAction::Tell(held.entry.clone(), event));
     }
 
--- a/crates/dispatch/src/executor/held.rs
+++ b/crates/dispatch/src/executor/held.rs
@@ -11,6 +11,8 @@
 const LEAST_REMAINING: Duration = Duration::from_millis(5);
 /// Progress assumed where none is seen, in percent.
 const LEAST_PERCENT: f64 = 0.5;
+/// Progress from which the run time can be projected, in percent: 1 in 15 is off by 7%.
+const ENOUGH_PERCENT: u32 = 15;
 /// Least time between two looks at progress, which is listed in whole percents.
 const MARK_TIME: Duration = Duration::from_millis(35);
 /// Pace relative to the usual one from which a task at a disturbed endpoint is told of.
@@ -46,6 +48,8 @@
     pub(super) late: bool,
     pub(super) start_by: Duration,
     pub(super) give_up_at: Duration,
+    /// When it must end for its caller to get the answer.
+    end_by: Duration,
     pub(super) most_here: u32,
     pub(super) phase: Phase,
     pub(super) started_at: Duration,
@@ -74,6 +78,7 @@
             late: order.start_within.is_zero(),
             start_by: now + order.start_within,
             give_up_at: now + order.give_up,
+            end_by: now + order.end_within,
             most_here: order.most_here,
             phase: Phase::Queued,
             started_at: now,
@@ -112,6 +117,17 @@
         Some(self.rate? / self.work_time.as_secs_f64().max(0.001))
     }
 
+    /// Returns the time a task still needs that cannot end in time, going by its progress so far.
+    pub(super) fn overrun(&self, now: Duration) -> Option<Duration> {
+        if self.percent < ENOUGH_PERCENT {
+            return None;
+        }
+        let elapsed = now.saturating_sub(self.started_at);
+        let left =
+            elapsed.mul_f64(f64::from(100 - self.percent.min(100)) / f64::from(self.percent));
+        (now + left > self.end_by).then_some(left)
+    }
+
     /// Returns the time a task still needs whose endpoint is disturbed or that stands still.
     pub(super) fn slow_left(&self, usual: f64, disturbed: bool) -> Option<Duration> {
         let pace = self.pace()?;
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -12,7 +12,7 @@
 use crate::id::{AgentId, RequestId, TaskName, TaskRun};
 use crate::job::{Answer, GiveUp, JobSpec, RefusalReason, StepSpec};
 use crate::place::{Candidate, Demand, EndpointStatus, Forecast};
-use crate::predict::Predictor;
+use crate::predict::{Predictor, Work};
 use crate::room::Room;
 
 use endpoint::Endpoint;
@@ -22,6 +22,11 @@
 const CALLER_TRANSFER: Duration = Duration::from_millis(8);
 /// Time to stop a task at one endpoint and to start it at another.
 const MOVE_TIME: Duration = Duration::from_millis(40);
+/// Time past the deadline by which a task must be projected to end for its job to be given up; progress
+/// is listed in whole percents.
+const OVERRUN: Duration = Duration::from_millis(60);
+/// Standard deviation of the logarithm of work that its progress has shown.
+const SEEN_SPREAD: f64 = 0.05;
 /// Endpoints considered for a task, where there are more.
 const MAX_CANDIDATES: usize = 96;
 /// Risk that the caller gives up first from which a job is refused at any load.
@@ -64,8 +69,10 @@
     Failed,
     /// It was stopped or lost.
     Stopped,
-    /// It runs far slower than expected and needs about so much longer.
+    /// It runs at an endpoint that is far slower than usual, and needs about so much longer.
     Slow(Duration),
+    /// It is more work than expected and cannot end in time, since it needs about so much longer.
+    Overrun(Duration),
 }
 
 /// What an agent tells of a task.
@@ -92,6 +99,8 @@
     pub start_within: Duration,
     /// Time after which a start is of no use.
     pub give_up: Duration,
+    /// Time by which the task must end for its caller to get the answer.
+    pub end_within: Duration,
     /// Most tasks of the step at this endpoint; 0 for no limit.
     pub most_here: u32,
 }
@@ -347,7 +356,7 @@
         let firsts = job.spec.steps.iter().filter(|step| step.after.is_empty());
         for step in firsts {
             for turn in 0..step.count {
-                let choice = self.choose(now, job, step, turn as usize, None, &[]);
+                let choice = self.choose(now, job, step, turn as usize, None, None, &[]);
                 let Some(choice) = choice else {
                     self.unplan(&taken);
                     return Err(self.no_place(now, &job.spec, step));
@@ -418,6 +427,7 @@
         job: &Job,
         step: &StepSpec,
         turn: usize,
+        work_seen: Option<Duration>,
         avoid: Option<&AgentId>,
         used: &[(AgentId, u32)],
     ) -> Option<Choice> {
@@ -426,7 +436,11 @@
         let stride = count.div_ceil(MAX_CANDIDATES).max(1);
         let sick = self.sick_limit(now);
         let spec = &job.spec;
-        let work = self.predictor.work(&spec.queue, step.declared);
+        let predicted = self.predictor.work(&spec.queue, step.declared);
+        let work = match work_seen {
+            Some(median) => Work { median, spread: SEEN_SPREAD },
+            None => predicted,
+        };
         let demand = Demand {
             need: step.need,
             work,
@@ -494,8 +508,15 @@
         let (spec, name) = (job.spec.clone(), job.tasks[at].name.clone());
         let used = job.used(name.step);
         let step = &spec.steps[usize::from(name.step)];
-        let choice =
-            self.choose(now, job, step, job.tasks[at].turn(), job.tasks[at].avoid.as_ref(), &used);
+        let choice = self.choose(
+            now,
+            job,
+            step,
+            job.tasks[at].turn(),
+            None,
+            job.tasks[at].avoid.as_ref(),
+            &used,
+        );
         let Some(choice) = choice else {
             self.wait_or_end(now, id, at);
             return;
@@ -512,7 +533,7 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        let run = job.tasks[at].send(&choice.agent, forecast.run, choice.work);
+        let run = job.tasks[at].send(now, &choice.agent, forecast.run, choice.work);
         let order = TaskOrder {
             run,
             work: spec.work.clone(),
@@ -520,6 +541,7 @@
             work_time: choice.work,
             start_within: forecast.slack,
             give_up: give_up.max(LEAST_TIME),
+            end_within: patience,
             most_here,
         };
         let Some(known) = self.endpoints.get_mut(&choice.agent) else {
@@ -672,7 +694,7 @@
         let Some(at) = self.find(name, agent, event.run.run) else {
             return;
         };
-        if !matches!(event.fate, Fate::Done(_) | Fate::Slow(_)) {
+        if !matches!(event.fate, Fate::Done(_) | Fate::Slow(_) | Fate::Overrun(_)) {
             let (run, agent, fate) = (event.run.clone(), agent.clone(), event.fate);
             self.actions.push(Action::Record(Decision::Back { run, agent, fate }));
         }
@@ -685,7 +707,11 @@
                 }
                 self.place(now, &name.request, at);
             }
-            Fate::Slow(left) => self.consider_move(now, name, at, agent, left),
+            Fate::Slow(left) => self.consider_move(now, name, at, agent, left, None),
+            Fate::Overrun(left) => {
+                let work = self.work_seen(now, name, at, left);
+                self.consider_move(now, name, at, agent, left, work);
+            }
         }
     }
 
@@ -730,6 +756,22 @@
         }
     }
 
+    /// Returns how much work a running task is that needs `left` more.
+    fn work_seen(
+        &self,
+        now: Duration,
+        name: &TaskName,
+        at: usize,
+        left: Duration,
+    ) -> Option<Duration> {
+        let job = self.jobs.get(&name.request)?;
+        let TaskState::Sent { sent_at, expected, work, .. } = &job.tasks[at].state else {
+            return None;
+        };
+        let takes = now.saturating_sub(*sent_at) + left;
+        Some(takes.mul_f64(work.as_secs_f64() / expected.as_secs_f64().max(0.001)))
+    }
+
     /// Stops a slow task where it would end in time elsewhere, or much earlier.
     fn consider_move(
         &mut self,
@@ -738,16 +780,21 @@
         at: usize,
         agent: &AgentId,
         left: Duration,
+        work: Option<Duration>,
     ) {
         let Some(job) = self.jobs.get(&name.request) else {
             return;
         };
         let step = &job.spec.steps[usize::from(name.step)];
-        let choice = self.choose(now, job, step, job.tasks[at].turn(), Some(agent), &[]);
+        let deadline = job.deadline;
+        let is_hopeless = now + left > deadline + OVERRUN;
+        let choice = self.choose(now, job, step, job.tasks[at].turn(), work, Some(agent), &[]);
         let Some(choice) = choice.filter(|choice| choice.agent != *agent) else {
+            if is_hopeless && work.is_some() {
+                self.end_unserved(now, &name.request);
+            }
             return;
         };
-        let deadline = job.deadline;
         let promised = choice.work.mul_f64(job.spec.terms.stretch) + job.spec.terms.target;
         let objective = (job.sent_at + promised).min(deadline);
         let there = now + MOVE_TIME + choice.forecast.end();
@@ -756,6 +803,9 @@
         let saves_answer = here > deadline && there < deadline;
         let much_earlier = here > objective && (there - now) * 2 < left;
         if !(saves_objective || saves_answer || much_earlier) {
+            if is_hopeless && work.is_some() {
+                self.end_unserved(now, &name.request);
+            }
             return;
         }
         let Some(job) = self.jobs.get_mut(&name.request) else {
--- a/crates/dispatch/src/scheduler/task.rs
+++ b/crates/dispatch/src/scheduler/task.rs
@@ -13,7 +13,7 @@
     /// At the entry.
     Waiting,
     /// At an agent, as far as is known.
-    Sent { agent: AgentId, expected: Duration, work: Duration, recalled: bool },
+    Sent { agent: AgentId, sent_at: Duration, expected: Duration, work: Duration, recalled: bool },
     /// Done.
     Done,
 }
@@ -53,9 +53,16 @@
         self.state == TaskState::Waiting && !self.may_have_started
     }
 
-    pub(super) fn send(&mut self, agent: &AgentId, expected: Duration, work: Duration) -> TaskRun {
+    pub(super) fn send(
+        &mut self,
+        now: Duration,
+        agent: &AgentId,
+        expected: Duration,
+        work: Duration,
+    ) -> TaskRun {
         self.runs += 1;
-        self.state = TaskState::Sent { agent: agent.clone(), expected, work, recalled: false };
+        self.state =
+            TaskState::Sent { agent: agent.clone(), sent_at: now, expected, work, recalled: false };
         TaskRun { task: self.name.clone(), run: self.runs }
     }
 
--- a/crates/dispatch/tests/testsuite/executor.rs
+++ b/crates/dispatch/tests/testsuite/executor.rs
@@ -45,6 +45,7 @@
         work_time: ms(100),
         start_within,
         give_up: ms(1000),
+        end_within: ms(1400),
         most_here: 0,
     };
     Order { entry: entry(), order }
@@ -307,3 +308,18 @@
     let slow = told(&executor.take_actions());
     assert!(slow.iter().all(|(_, fate)| matches!(fate, Fate::Slow(_))) && slow.len() == 3);
 }
+
+/// A long task that turns out to be longer than its caller waits is told of early.
+#[test]
+fn a_task_that_cannot_end_in_time_is_told_of_early() {
+    let mut executor = executor();
+    let mut long = order(0, 1000, ms(500));
+    long.order.work_time = ms(700);
+    executor.on_order(START, long);
+    executor.on_start_reply(START, &run(0), StartOutcome::Started);
+    executor.take_actions();
+    let at = START + ms(400);
+    let running = vec![TaskProgress { run: run(0), percent: 20 }];
+    executor.on_listing(at, &Listing { running, ..listing(at) });
+    assert_eq!(told(&executor.take_actions()), [(run(0), Fate::Overrun(ms(1600)))]);
+}
--- a/crates/dispatch/tests/testsuite/scheduler.rs
+++ b/crates/dispatch/tests/testsuite/scheduler.rs
@@ -181,6 +181,23 @@
     }
 }
 
+/// A caller whose job cannot be done while it waits gets the final answer at once.
+#[test]
+fn a_job_that_cannot_end_in_time_is_given_up_early() {
+    let endpoints = [status(32_000, 1.0), status(32_000, 1.0)];
+    let mut scheduler = scheduler_with(START, &endpoints);
+    scheduler.submit(START, job("a1", 2, 1000, ms(900)));
+    let sent = orders(&scheduler.take_actions());
+    let now = START + ms(400);
+    for number in 0..2 {
+        scheduler.on_status(now, &agent(number), status(32_000, 1.0));
+    }
+    let actions = tell(&mut scheduler, now, &sent[0], Fate::Overrun(ms(1600)));
+    assert!(matches!(answers(&actions)[..], [(_, Answer::GaveUp { .. })]), "{actions:?}");
+    let recalls = actions.iter().filter(|action| matches!(action, Action::Recall(..)));
+    assert_eq!(recalls.count(), 2);
+}
+
 /// Between the last sign of life of an agent and the end of all leases nothing it was sent runs
 /// anywhere else.
 #[test]
--- a/crates/dispatch/tests/testsuite/world.rs
+++ b/crates/dispatch/tests/testsuite/world.rs
@@ -184,6 +184,7 @@
             work_time: ms(90),
             start_within: ms(u64::from(luck)),
             give_up: ms(700),
+            end_within: ms(1400),
             most_here: 0,
         };
         self.executor.on_order(self.now, Order { entry: entry(), order });
--- a/crates/node/src/convert.rs
+++ b/crates/node/src/convert.rs
@@ -29,6 +29,7 @@
         work_ms: millis32(order.work_time),
         start_within_ms: millis32(order.start_within),
         give_up_ms: millis32(order.give_up),
+        end_within_ms: millis32(order.end_within),
         most_here: order.most_here,
     }
 }
@@ -41,6 +42,7 @@
         work_time: from_millis32(wire.work_ms),
         start_within: from_millis32(wire.start_within_ms),
         give_up: from_millis32(wire.give_up_ms),
+        end_within: from_millis32(wire.end_within_ms),
         most_here: wire.most_here,
     })
 }
@@ -53,6 +55,7 @@
         Fate::Failed => (proto::TaskFate::Failed, Duration::ZERO),
         Fate::Stopped => (proto::TaskFate::Stopped, Duration::ZERO),
         Fate::Slow(left) => (proto::TaskFate::Slow, left),
+        Fate::Overrun(left) => (proto::TaskFate::Overrun, left),
     };
     proto::TaskEvent { run: Some(run_to(&event.run)), fate: fate.into(), millis: millis32(time) }
 }
@@ -67,6 +70,7 @@
         proto::TaskFate::Failed => Fate::Failed,
         proto::TaskFate::Stopped => Fate::Stopped,
         proto::TaskFate::Slow => Fate::Slow(time),
+        proto::TaskFate::Overrun => Fate::Overrun(time),
     };
     Some(TaskEvent { run: run_of(wire.run.as_ref()?)?, fate })
 }
