--- a/crates/dispatch/src/executor/held.rs
+++ b/crates/dispatch/src/executor/held.rs
@@ -11,8 +11,8 @@
 const LEAST_REMAINING: Duration = Duration::from_millis(5);
 /// Progress assumed where none is seen, in percent.
 const LEAST_PERCENT: f64 = 0.5;
-/// Progress from which the run time can be projected, in percent: 1 in 15 is off by 7%.
-const ENOUGH_PERCENT: u32 = 15;
+/// Progress from which the run time can be projected, in percent: 1 in 25 is off by 4%.
+const ENOUGH_PERCENT: u32 = 25;
 /// Least time between two looks at progress, which is listed in whole percents.
 const MARK_TIME: Duration = Duration::from_millis(35);
 /// Pace relative to the usual one from which a task at a disturbed endpoint is told of.
@@ -123,8 +123,9 @@
             return None;
         }
         let elapsed = now.saturating_sub(self.started_at);
-        let left =
-            elapsed.mul_f64(f64::from(100 - self.percent.min(100)) / f64::from(self.percent));
+        // Whole percents are listed, so that up to one more is done.
+        let done = f64::from(self.percent) + 1.0;
+        let left = elapsed.mul_f64((100.0 - done).max(0.0) / done);
         (now + left > self.end_by).then_some(left)
     }
 
--- a/crates/dispatch/src/samples.rs
+++ b/crates/dispatch/src/samples.rs
@@ -43,6 +43,11 @@
         self.values.iter().filter(move |(at, _)| now < *at + MAX_AGE).map(|(_, value)| *value)
     }
 
+    /// Returns the observations of the last while.
+    pub fn within(&self, now: Duration, age: Duration) -> impl Iterator<Item = f64> {
+        self.values.iter().filter(move |(at, _)| now <= *at + age).map(|(_, value)| *value)
+    }
+
     /// Returns the median of the observations that still count.
     pub fn median(&self, now: Duration) -> Option<f64> {
         median(self.recent(now).collect())
@@ -73,12 +78,16 @@
 const PULL: f64 = 0.0005;
 /// Present run times relative to the usual ones from which the endpoint counts as disturbed.
 const DISTURBED_RATIO: f64 = 2.0;
+/// Largest deviation learned from once the usual speed is known, as a factor: the first tasks of a
+/// disturbance must not move it much.
+const MAX_ERROR: f64 = 2.0;
 /// Observations from which the usual speed is known.
 const ENOUGH: f64 = 12.0;
-/// Running jobs whose pace tells of the endpoint without regard to those that ended before.
-const ENOUGH_RUNNING: usize = 3;
-/// Latest observations that complete the running jobs where these are fewer.
-const LATEST: usize = 3;
+/// Observations needed to tell a disturbance.
+const ENOUGH_PRESENT: usize = 3;
+/// Age up to which tasks that have ended count beside those that run. Those that run are more often the
+/// large ones; among those that end the short ones are more frequent.
+const PRESENT: Duration = Duration::from_millis(120);
 
 /// How long tasks take at an endpoint, relative to the work that they are.
 ///
@@ -97,7 +106,8 @@
 /// }
 /// assert!((speed.usual() - 0.7).abs() < 0.02);
 /// // Running tasks that have fallen far behind tell at once.
-/// assert!(speed.ratio(now, vec![5.0; 4]) > 4.0);
+/// let later = now + Duration::from_millis(200);
+/// assert!(speed.ratio(later, vec![5.0; 4]) > 4.0);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Speed {
@@ -121,7 +131,9 @@
         }
         self.weight += 1.0;
         let rate = LEARNING_RATE.max(1.0 / (FIRST_WEIGHT + self.weight));
-        self.usual += rate * (ratio.ln() - self.usual) - PULL * self.usual;
+        let bound = if self.weight > ENOUGH { MAX_ERROR.ln() } else { f64::INFINITY };
+        let error = (ratio.ln() - self.usual).clamp(-bound, bound);
+        self.usual += rate * error - PULL * self.usual;
     }
 
     /// Returns the usual run time relative to the work.
@@ -133,11 +145,8 @@
     pub fn ratio(&self, now: Duration, running: Vec<f64>) -> f64 {
         let usual = self.usual();
         let mut seen = running;
-        if seen.len() < ENOUGH_RUNNING {
-            let latest: Vec<f64> = self.latest.recent(now).collect();
-            seen.extend(latest.iter().rev().take(LATEST));
-        }
-        if seen.len() < ENOUGH_RUNNING {
+        seen.extend(self.latest.within(now, PRESENT));
+        if seen.len() < ENOUGH_PRESENT {
             return usual;
         }
         let present = median(seen).unwrap_or(usual);
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -1,49 +1,38 @@
 //! An entry's decisions: admission, placement, retry, rescue and the answer.
 
+mod admission;
+mod choice;
+mod decision;
 mod endpoint;
+mod rescue;
 mod task;
 
-use std::fmt;
 use std::time::Duration;
 
-use compact_str::CompactString;
 use cowslipwing_types::SortedMap;
 
 use crate::id::{AgentId, RequestId, TaskName, TaskRun};
-use crate::job::{Answer, GiveUp, JobSpec, RefusalReason, StepSpec};
-use crate::place::{Candidate, Demand, EndpointStatus, Forecast};
-use crate::predict::{Predictor, Work};
+use crate::job::{Answer, GiveUp, JobSpec, RefusalReason};
+use crate::place::EndpointStatus;
+use crate::predict::Predictor;
 use crate::room::Room;
 
+use admission::Refused;
+use choice::Ask;
 use endpoint::Endpoint;
 use task::{Job, Task, TaskState};
 
+pub use decision::Decision;
+
 /// Time between the caller's first attempt and the arrival of the request here, and back.
 const CALLER_TRANSFER: Duration = Duration::from_millis(8);
-/// Time to stop a task at one endpoint and to start it at another.
-const MOVE_TIME: Duration = Duration::from_millis(40);
-/// Time past the deadline by which a task must be projected to end for its job to be given up; progress
-/// is listed in whole percents.
-const OVERRUN: Duration = Duration::from_millis(60);
-/// Standard deviation of the logarithm of work that its progress has shown.
-const SEEN_SPREAD: f64 = 0.05;
-/// Endpoints considered for a task, where there are more.
-const MAX_CANDIDATES: usize = 96;
 /// Risk that the caller gives up first from which a job is refused at any load.
 const HOPELESS_RISK: f64 = 0.95;
-/// Risk of missing the objective from which a job is refused while the endpoints are busy.
-const LATE_RISK: f64 = 0.7;
-/// Load of the endpoints from which late jobs are refused, so that others stay in time.
-const BUSY_LOAD: f64 = 0.9;
-/// Least time after which a refused caller may come back; load changes within it.
-const LEAST_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Time left to a caller below which a start is of no use.
 const LEAST_TIME: Duration = Duration::from_millis(15);
 /// Step between run numbers where an endpoint has seen a higher one, from an earlier attempt of the
 /// caller at another entry.
 const STALE_STEP: u32 = 16;
-/// Share of failed tasks from which an endpoint is avoided.
-const SICK_SHARE: f64 = 0.3;
 
 /// Settings of a scheduler.
 #[derive(Clone, Copy, Debug)]
@@ -118,126 +107,6 @@
     Record(Decision),
 }
 
-/// A decision with the inputs that led to it, for the log.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Decision {
-    /// A job was admitted.
-    Admitted {
-        /// The job.
-        id: RequestId,
-        /// Its queue.
-        queue: CompactString,
-        /// Number of its tasks.
-        tasks: usize,
-        /// Share of the processors in use or asked for.
-        load: f64,
-        /// Time until its objective.
-        objective: Duration,
-        /// Time until its caller gives up.
-        deadline: Duration,
-    },
-    /// A job was refused.
-    Refused {
-        /// The job.
-        id: RequestId,
-        /// Its queue.
-        queue: CompactString,
-        /// Why.
-        reason: RefusalReason,
-        /// Share of the processors in use or asked for.
-        load: f64,
-        /// Number of endpoints that take tasks.
-        endpoints: usize,
-        /// When its last task would have ended.
-        end: Duration,
-        /// Time until its objective.
-        objective: Duration,
-    },
-    /// A task was sent.
-    Sent {
-        /// The run.
-        run: TaskRun,
-        /// Where to.
-        agent: AgentId,
-        /// Time until it starts.
-        wait: Duration,
-        /// Time it then takes.
-        takes: Duration,
-        /// Probability of missing the objective.
-        risk: f64,
-        /// Age of what is known of the endpoint.
-        age: Duration,
-    },
-    /// A task came back without being done.
-    Back {
-        /// The run.
-        run: TaskRun,
-        /// Where from.
-        agent: AgentId,
-        /// How it fared.
-        fate: Fate,
-    },
-    /// A slow task is stopped, to run elsewhere.
-    Moved {
-        /// The run.
-        run: TaskRun,
-        /// Where it runs.
-        agent: AgentId,
-        /// Time it would need there.
-        here: Duration,
-        /// Time it needs elsewhere.
-        there: Duration,
-    },
-    /// Nothing that an agent was sent can run any more.
-    Lost {
-        /// The agent.
-        agent: AgentId,
-        /// Time since it was heard from.
-        silence: Duration,
-    },
-}
-
-impl fmt::Display for Decision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Admitted { id, queue, tasks, load, objective, deadline } => write!(
-                f,
-                "event=admitted job={id} queue={queue} tasks={tasks} load={load:.2} \
-                 objective_ms={} deadline_ms={}",
-                objective.as_millis(),
-                deadline.as_millis()
-            ),
-            Self::Refused { id, queue, reason, load, endpoints, end, objective } => write!(
-                f,
-                "event=refused job={id} queue={queue} reason={reason} load={load:.2} \
-                 endpoints={endpoints} end_ms={} objective_ms={}",
-                end.as_millis(),
-                objective.as_millis()
-            ),
-            Self::Sent { run, agent, wait, takes, risk, age } => write!(
-                f,
-                "event=sent task={run} agent={agent} wait_ms={} takes_ms={} risk={risk:.2} \
-                 status_age_ms={}",
-                wait.as_millis(),
-                takes.as_millis(),
-                age.as_millis()
-            ),
-            Self::Back { run, agent, fate } => {
-                write!(f, "event=back task={run} agent={agent} fate={fate:?}")
-            }
-            Self::Moved { run, agent, here, there } => write!(
-                f,
-                "event=moved task={run} agent={agent} here_ms={} there_ms={}",
-                here.as_millis(),
-                there.as_millis()
-            ),
-            Self::Lost { agent, silence } => {
-                write!(f, "event=lost agent={agent} silence_ms={}", silence.as_millis())
-            }
-        }
-    }
-}
-
 /// The jobs of an entry and the endpoints it may use.
 pub struct Scheduler {
     settings: SchedulerSettings,
@@ -247,21 +116,6 @@
     actions: Vec<Action>,
 }
 
-/// Why a job is not admitted.
-struct Refused {
-    reason: RefusalReason,
-    /// When its last task would have ended.
-    end: Duration,
-    retry_after: Duration,
-}
-
-/// An endpoint chosen for a task.
-struct Choice {
-    agent: AgentId,
-    forecast: Forecast,
-    work: Duration,
-}
-
 impl Scheduler {
     /// Returns a scheduler without jobs or endpoints.
     pub fn new(settings: SchedulerSettings) -> Self {
@@ -349,63 +203,6 @@
         self.actions.push(Action::Answer(id, Answer::Refused { reason, retry_after }));
     }
 
-    /// Judges a job before any task of it is sent.
-    fn admit(&mut self, now: Duration, job: &Job) -> Result<(), Refused> {
-        let mut longest: Option<Choice> = None;
-        let mut taken: Vec<(AgentId, Room)> = Vec::new();
-        let firsts = job.spec.steps.iter().filter(|step| step.after.is_empty());
-        for step in firsts {
-            for turn in 0..step.count {
-                let choice = self.choose(now, job, step, turn as usize, None, None, &[]);
-                let Some(choice) = choice else {
-                    self.unplan(&taken);
-                    return Err(self.no_place(now, &job.spec, step));
-                };
-                if let Some(known) = self.endpoints.get_mut(&choice.agent) {
-                    known.planned.take(step.need);
-                    taken.push((choice.agent.clone(), step.need));
-                }
-                if longest.as_ref().is_none_or(|known| choice.forecast.end() > known.forecast.end())
-                {
-                    longest = Some(choice);
-                }
-            }
-        }
-        self.unplan(&taken);
-        let Some(longest) = longest else {
-            return Ok(());
-        };
-        let forecast = longest.forecast;
-        let is_hopeless = forecast.unanswered > HOPELESS_RISK;
-        let is_late = forecast.late > LATE_RISK && self.load(&job.spec.service) > BUSY_LOAD;
-        if is_hopeless || is_late {
-            let retry_after = forecast.wait.max(LEAST_RETRY_AFTER);
-            let end = forecast.end();
-            return Err(Refused { reason: RefusalReason::Load, end, retry_after });
-        }
-        Ok(())
-    }
-
-    /// Gives back the room taken while a job was judged.
-    fn unplan(&mut self, taken: &[(AgentId, Room)]) {
-        for (agent, need) in taken {
-            if let Some(known) = self.endpoints.get_mut(agent) {
-                known.planned.give(*need);
-            }
-        }
-    }
-
-    fn no_place(&self, now: Duration, spec: &JobSpec, step: &StepSpec) -> Refused {
-        let of_service = |known: &&Endpoint| known.status.service == spec.service;
-        let mut sized = self.endpoints.values().filter(of_service).peekable();
-        let any_usable = self.usable_endpoints(now) > 0;
-        let too_large = any_usable
-            && sized.peek().is_some()
-            && !sized.any(|known| known.status.capacity.holds(step.need));
-        let reason = if too_large { RefusalReason::TooLarge } else { RefusalReason::NoEndpoint };
-        Refused { reason, end: Duration::ZERO, retry_after: self.settings.bound() }
-    }
-
     /// Returns the share of the processors of a service that is in use or asked for.
     fn load(&self, service: &str) -> f64 {
         let mut size = 0.0;
@@ -418,75 +215,6 @@
         if size > 0.0 { 1.0 - free / size } else { 1.0 }
     }
 
-    /// Chooses the endpoint for a task.
-    ///
-    /// Where there are many endpoints, a part of them is considered that changes with `turn`.
-    fn choose(
-        &self,
-        now: Duration,
-        job: &Job,
-        step: &StepSpec,
-        turn: usize,
-        work_seen: Option<Duration>,
-        avoid: Option<&AgentId>,
-        used: &[(AgentId, u32)],
-    ) -> Option<Choice> {
-        let suspect_after = self.settings.suspect_after;
-        let count = self.endpoints.len();
-        let stride = count.div_ceil(MAX_CANDIDATES).max(1);
-        let sick = self.sick_limit(now);
-        let spec = &job.spec;
-        let predicted = self.predictor.work(&spec.queue, step.declared);
-        let work = match work_seen {
-            Some(median) => Work { median, spread: SEEN_SPREAD },
-            None => predicted,
-        };
-        let demand = Demand {
-            need: step.need,
-            work,
-            others: spec.longest_chain().saturating_sub(step.declared),
-            terms: spec.terms,
-            elapsed: now.saturating_sub(job.sent_at),
-            patience: job.deadline.saturating_sub(now),
-        };
-        let mut best: Option<(f64, &AgentId, Forecast)> = None;
-        for (at, (agent, known)) in self.endpoints.iter().enumerate() {
-            if at % stride != turn % stride || !known.is_usable(now, suspect_after) {
-                continue;
-            }
-            if !known.suits(&spec.service, step) || is_full(step, agent, used) {
-                continue;
-            }
-            let far = step.near.as_ref().is_some_and(|near| *near != known.status.rack);
-            let candidate = Candidate { status: &known.status, free: known.free(), far };
-            let forecast = candidate.forecast(&demand);
-            let mut cost = candidate.cost(step.need, &forecast);
-            if avoid == Some(agent) {
-                cost += 2.0;
-            }
-            if known.status.failing > sick {
-                cost += 4.0;
-            }
-            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                best = Some((cost, agent, forecast));
-            }
-        }
-        best.map(|(_, agent, forecast)| Choice {
-            agent: agent.clone(),
-            forecast,
-            work: work.median,
-        })
-    }
-
-    /// Returns the share of failures from which an endpoint counts as sick: where tasks fail
-    /// everywhere, the tasks are to blame.
-    fn sick_limit(&self, now: Duration) -> f64 {
-        let suspect_after = self.settings.suspect_after;
-        let usable = self.endpoints.values().filter(|known| known.is_usable(now, suspect_after));
-        let shares = usable.map(|known| known.status.failing).collect();
-        crate::samples::median(shares).map_or(SICK_SHARE, |mid| SICK_SHARE.max(3.0 * mid))
-    }
-
     /// Sends all tasks of a job whose turn has come.
     fn place_ready(&mut self, now: Duration, id: &RequestId) {
         let Some(job) = self.jobs.get(id) else {
@@ -508,15 +236,10 @@
         let (spec, name) = (job.spec.clone(), job.tasks[at].name.clone());
         let used = job.used(name.step);
         let step = &spec.steps[usize::from(name.step)];
-        let choice = self.choose(
-            now,
-            job,
-            step,
-            job.tasks[at].turn(),
-            None,
-            job.tasks[at].avoid.as_ref(),
-            &used,
-        );
+        let task = &job.tasks[at];
+        let avoid = task.avoid.as_ref();
+        let ask = Ask { avoid, used: &used, ..Ask::first(step, task.turn()) };
+        let choice = self.choose(now, job, ask);
         let Some(choice) = choice else {
             self.wait_or_end(now, id, at);
             return;
@@ -756,77 +479,6 @@
         }
     }
 
-    /// Returns how much work a running task is that needs `left` more.
-    fn work_seen(
-        &self,
-        now: Duration,
-        name: &TaskName,
-        at: usize,
-        left: Duration,
-    ) -> Option<Duration> {
-        let job = self.jobs.get(&name.request)?;
-        let TaskState::Sent { sent_at, expected, work, .. } = &job.tasks[at].state else {
-            return None;
-        };
-        let takes = now.saturating_sub(*sent_at) + left;
-        Some(takes.mul_f64(work.as_secs_f64() / expected.as_secs_f64().max(0.001)))
-    }
-
-    /// Stops a slow task where it would end in time elsewhere, or much earlier.
-    fn consider_move(
-        &mut self,
-        now: Duration,
-        name: &TaskName,
-        at: usize,
-        agent: &AgentId,
-        left: Duration,
-        work: Option<Duration>,
-    ) {
-        let Some(job) = self.jobs.get(&name.request) else {
-            return;
-        };
-        let step = &job.spec.steps[usize::from(name.step)];
-        let deadline = job.deadline;
-        let is_hopeless = now + left > deadline + OVERRUN;
-        let choice = self.choose(now, job, step, job.tasks[at].turn(), work, Some(agent), &[]);
-        let Some(choice) = choice.filter(|choice| choice.agent != *agent) else {
-            if is_hopeless && work.is_some() {
-                self.end_unserved(now, &name.request);
-            }
-            return;
-        };
-        let promised = choice.work.mul_f64(job.spec.terms.stretch) + job.spec.terms.target;
-        let objective = (job.sent_at + promised).min(deadline);
-        let there = now + MOVE_TIME + choice.forecast.end();
-        let here = now + left;
-        let saves_objective = here > objective && there <= objective;
-        let saves_answer = here > deadline && there < deadline;
-        let much_earlier = here > objective && (there - now) * 2 < left;
-        if !(saves_objective || saves_answer || much_earlier) {
-            if is_hopeless && work.is_some() {
-                self.end_unserved(now, &name.request);
-            }
-            return;
-        }
-        let Some(job) = self.jobs.get_mut(&name.request) else {
-            return;
-        };
-        if let TaskState::Sent { recalled, .. } = &mut job.tasks[at].state {
-            if !*recalled {
-                *recalled = true;
-                let run = TaskRun { task: name.clone(), run: job.tasks[at].runs };
-                let decision = Decision::Moved {
-                    run: run.clone(),
-                    agent: agent.clone(),
-                    here: left,
-                    there: there - now,
-                };
-                self.actions.push(Action::Record(decision));
-                self.actions.push(Action::Recall(agent.clone(), run));
-            }
-        }
-    }
-
     /// Takes in that time has passed.
     pub fn on_tick(&mut self, now: Duration) {
         let bound = self.settings.bound();
@@ -864,9 +516,3 @@
         self.entry_lease + self.endpoint_lease
     }
 }
-
-/// Tells whether an endpoint already has as many tasks of the step as it may.
-fn is_full(step: &StepSpec, agent: &AgentId, used: &[(AgentId, u32)]) -> bool {
-    let most = step.most_per_endpoint;
-    most > 0 && used.iter().any(|(known, count)| known == agent && *count >= most)
-}
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -284,14 +284,14 @@
     }
 
     fn on_stream_down(&mut self, entry: &EntryName, tx: &mpsc::UnboundedSender<AgentFrame>) {
-        if let Some(stream) = self.streams.get_mut(entry) {
-            if stream.tx.same_channel(tx) {
-                let events = std::mem::take(&mut stream.events);
-                let (closed, _) = mpsc::unbounded_channel();
-                stream.tx = closed;
-                self.unsent.insert(entry.clone(), events);
-            }
-        }
+        let found = self.streams.get_mut(entry);
+        let Some(stream) = found.filter(|stream| stream.tx.same_channel(tx)) else {
+            return;
+        };
+        let events = std::mem::take(&mut stream.events);
+        let (closed, _) = mpsc::unbounded_channel();
+        stream.tx = closed;
+        self.unsent.insert(entry.clone(), events);
     }
 
     fn on_frame(&mut self, now: Duration, entry: &EntryName, frame: EntryFrame) {
--- a/crates/node/src/agent/announced.rs
+++ b/crates/node/src/agent/announced.rs
@@ -42,10 +42,12 @@
 }
 
 async fn take(events: mpsc::UnboundedSender<Event>, req: Request<Incoming>) -> Response<Body> {
-    let status = match event_of(req).await.map(|event| events.send(event)) {
-        Some(Ok(())) => StatusCode::OK,
-        Some(Err(_)) => StatusCode::SERVICE_UNAVAILABLE,
+    let status = match event_of(req).await {
         None => StatusCode::BAD_REQUEST,
+        Some(event) => match events.send(event) {
+            Ok(()) => StatusCode::OK,
+            Err(_) => StatusCode::SERVICE_UNAVAILABLE,
+        },
     };
     let mut response = Response::new(Full::new(Bytes::from_static(b"{}")));
     *response.status_mut() = status;
--- a/crates/node/src/agent/calls.rs
+++ b/crates/node/src/agent/calls.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cowslipwing_dispatch::{StartOutcome, StartRefusal, TaskRun};
-use cowslipwing_platform::{EndpointClient, EndpointError};
+use cowslipwing_platform::{EndpointClient, EndpointError, ListRequest};
 use cowslipwing_types::Clock;
 use tokio::sync::mpsc;
 
@@ -121,8 +121,8 @@
             let fence = calls.fence.get();
             let wait = if idle { IDLE_WAIT } else { BUSY_WAIT };
             let limit = wait + LIST_LIMIT;
-            let listed =
-                calls.client.list(&id, fence, until_ms, last_acked, wait, asked_at, limit).await;
+            let ask = ListRequest { until_ms, last_acked, wait, asked_at };
+            let listed = calls.client.list(&id, fence, ask, limit).await;
             if let Err(error) = &listed {
                 if matches!(error, EndpointError::Fenced) {
                     calls.fence.raise(fence);
