--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -430,7 +430,11 @@
 
     fn may_start(&self, now: Duration) -> bool {
         let listed = self.listed_at.is_some_and(|at| now < at + SILENCE_LIMIT);
-        let takes = self.endpoint.as_ref().is_some_and(|known| !known.draining);
+        // A new incarnation may have another size, which its announcement tells.
+        let takes = self
+            .endpoint
+            .as_ref()
+            .is_some_and(|known| !known.draining && self.listed_born == Some(known.born));
         listed && takes && self.foreign.is_empty() && !self.leaving
     }
 
--- a/crates/dispatch/src/route.rs
+++ b/crates/dispatch/src/route.rs
@@ -24,7 +24,7 @@
 }
 
 /// One version of the configuration.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RouteTable {
     version: u64,
     /// In the order of hosts, then prefixes.
@@ -32,6 +32,16 @@
     max_body_bytes: usize,
 }
 
+/// Largest body of a request read while no configuration is known, in bytes.
+const FIRST_BODY_BYTES: usize = 1 << 20;
+
+impl Default for RouteTable {
+    /// Returns the table of a process that knows no configuration yet.
+    fn default() -> Self {
+        Self::new(0, Vec::new(), FIRST_BODY_BYTES)
+    }
+}
+
 impl RouteTable {
     /// Returns a table.
     ///
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -3,11 +3,13 @@
 mod actor;
 mod announced;
 mod calls;
+mod remembered;
 mod streams;
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use cowslipwing_platform::StoreClient;
 use cowslipwing_settings::PlatformAgentConfig;
 use cowslipwing_types::{Clock, to_millis};
 use futures::FutureExt;
@@ -19,7 +21,7 @@
 use crate::members::Members;
 use crate::metrics::Metrics;
 
-use actor::{Actor, Event};
+use actor::{Actor, Event, Kept};
 use calls::Calls;
 
 /// Time before the end of the grace at which the process ends by itself.
@@ -59,12 +61,18 @@
         let (drained_tx, drained) = watch::channel(false);
         let calls = Calls::new(endpoint, started_ms, clock.clone(), events.clone());
         let id = name.parse().expect("a checked name and digits");
-        let actor = Actor::new(id, common, clock, metrics.clone(), members.clone(), calls);
+        let (reports, latest) = watch::channel(None);
+        let kept = Kept { members: members.clone(), reports };
+        let actor = Actor::new(id, common, clock, metrics.clone(), kept, calls);
+        let store = Arc::new(StoreClient::new(common.store));
+        let node = common.node.to_string();
         let stage = watch::Sender::new(Stage::Serving);
         let mut loops: Vec<BoxFuture<'static, ()>> = vec![
             actor.run(rx, drained_tx).boxed(),
             announced::serve(events.clone(), announcements, stage.subscribe()).boxed(),
-            streams::read_store(common.store, members.clone()).boxed(),
+            streams::read_entries(store.clone(), members.clone()).boxed(),
+            remembered::read(store.clone(), node.clone(), events.clone()).boxed(),
+            remembered::write(store, node, latest).boxed(),
             streams::run(members, name.clone(), common.node.to_string(), events.clone()).boxed(),
         ];
         if let Some(port) = common.metrics_port {
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -84,6 +84,14 @@
     stale: bool,
 }
 
+/// What the agent knows that outlives a decision.
+pub(super) struct Kept {
+    /// The entries.
+    pub(super) members: Arc<Members>,
+    /// What is to be remembered of the endpoint.
+    pub(super) reports: watch::Sender<Option<EndpointReport>>,
+}
+
 /// The state of an agent.
 pub(super) struct Actor {
     id: AgentId,
@@ -91,6 +99,7 @@
     clock: Arc<dyn Clock>,
     metrics: Arc<Metrics>,
     members: Arc<Members>,
+    reports: watch::Sender<Option<EndpointReport>>,
     calls: Calls,
     executor: Executor,
     streams: SortedMap<EntryName, Stream>,
@@ -106,7 +115,7 @@
         config: &PlatformConfig,
         clock: Arc<dyn Clock>,
         metrics: Arc<Metrics>,
-        members: Arc<Members>,
+        kept: Kept,
         calls: Calls,
     ) -> Self {
         let settings = ExecutorSettings {
@@ -119,7 +128,8 @@
             site: config.node.to_string(),
             clock,
             metrics,
-            members,
+            members: kept.members,
+            reports: kept.reports,
             calls,
             executor: Executor::new(settings),
             streams: SortedMap::new(),
@@ -209,7 +219,8 @@
             report.rack,
             report.capacity.cpu_millis
         );
-        if self.executor.on_report(now, report) {
+        if self.executor.on_report(now, report.clone()) {
+            self.reports.send_replace(Some(report));
             log::info!("agent: event=announced {line}");
             self.mark_stale();
         }
--- a/crates/node/src/agent/streams.rs
+++ b/crates/node/src/agent/streams.rs
@@ -28,8 +28,7 @@
 const STORE_RETRY: Duration = Duration::from_millis(300);
 
 /// Reads the list of entries once; entries tell of later changes.
-pub(super) async fn read_store(address: SocketAddr, members: Arc<Members>) {
-    let store = StoreClient::new(address);
+pub(super) async fn read_entries(store: Arc<StoreClient>, members: Arc<Members>) {
     loop {
         match store.newest(Topic::Entries).await {
             Ok((records, _)) if !records.is_empty() => {
