--- a/crates/node/src/agent/calls.rs
+++ b/crates/node/src/agent/calls.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use cowslipwing_dispatch::{StartOutcome, StartRefusal, TaskRun};
@@ -29,11 +29,16 @@
 /// higher one, by at most the steps of clocks seen so far. It doubles with each refusal.
 const FENCE_STEP: u64 = 4000;
 
+/// Calls in a row without an answer from which connections that no call uses are closed, since all of
+/// them may have fallen silent. A single answer may be lost without that.
+const SILENT_CALLS: u32 = 2;
+
 /// Makes the calls.
 #[derive(Clone)]
 pub(super) struct Calls {
     client: Arc<EndpointClient>,
     fence: Arc<Fence>,
+    unanswered: Arc<AtomicU32>,
     clock: Arc<dyn Clock>,
     events: mpsc::UnboundedSender<Event>,
 }
@@ -70,6 +75,7 @@
         Self {
             client: Arc::new(EndpointClient::new(endpoint)),
             fence: Arc::new(fence),
+            unanswered: Arc::default(),
             clock,
             events,
         }
@@ -80,6 +86,15 @@
         let _ = self.events.send(event);
     }
 
+    /// Notes whether a call was answered.
+    fn on_answer(&self, answered: bool) {
+        if answered {
+            self.unanswered.store(0, Ordering::Relaxed);
+        } else if self.unanswered.fetch_add(1, Ordering::Relaxed) + 1 >= SILENT_CALLS {
+            self.client.close_idle();
+        }
+    }
+
     /// Asks for a start.
     pub(super) fn start(&self, id: String, run: TaskRun, work: Arc<str>, until_ms: u64) {
         let calls = self.clone();
@@ -87,10 +102,9 @@
             let fence = calls.fence.get();
             let limit = START_LIMIT;
             let outcome = calls.client.start(&id, fence, &run, &work, until_ms, limit).await;
-            match outcome {
-                StartOutcome::Refused(StartRefusal::Fenced) => calls.fence.raise(fence),
-                StartOutcome::NoReply => calls.client.close_idle(),
-                _ => {}
+            calls.on_answer(outcome != StartOutcome::NoReply);
+            if outcome == StartOutcome::Refused(StartRefusal::Fenced) {
+                calls.fence.raise(fence);
             }
             calls.report(Event::StartReply(run, outcome));
         });
@@ -123,11 +137,11 @@
             let limit = wait + LIST_LIMIT;
             let ask = ListRequest { until_ms, last_acked, wait, asked_at };
             let listed = calls.client.list(&id, fence, ask, limit).await;
+            calls.on_answer(!matches!(listed, Err(EndpointError::NoAnswer { .. })));
             if let Err(error) = &listed {
                 if matches!(error, EndpointError::Fenced) {
                     calls.fence.raise(fence);
                 }
-                calls.client.close_idle();
                 tokio::time::sleep(LIST_RETRY).await;
             }
             calls.report(Event::Listed(listed));
