--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -5,29 +5,32 @@
 //! the order of the latest useful start, and goes back to its entry when that moment has passed.
 
 mod held;
+mod listing;
+mod report;
+mod status;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use compact_str::CompactString;
 use cowslipwing_types::SortedMap;
 
-use crate::id::{EntryName, RequestId, TaskName, TaskRun};
-use crate::place::{EndpointStatus, QueuedCpu};
-use crate::room::{FreeRoom, Room};
+use crate::id::{EntryName, TaskName, TaskRun};
+use crate::room::FreeRoom;
 use crate::samples::{Samples, Speed};
-use crate::scheduler::{Fate, TaskEvent, TaskOrder};
+use crate::scheduler::{Fate, TaskEvent};
 
 use held::{Held, Phase};
 
+pub use report::{
+    EndpointReport, HowEnded, Listing, Order, StartOutcome, StartRefusal, TaskEnd, TaskProgress,
+};
+
 /// Time after which a stop that was not confirmed is sent again.
 const STOP_AGAIN: Duration = Duration::from_millis(40);
 /// Time in which a sound endpoint confirms a start or lists it, many times over.
 const START_ANSWER: Duration = Duration::from_millis(30);
 /// Silence of the endpoint after which it takes no new tasks.
 const SILENCE_LIMIT: Duration = Duration::from_millis(900);
-/// Least time between two such messages on one task.
-const TELL_AGAIN: Duration = Duration::from_millis(120);
 /// Rate at which the endpoint's clock runs at least, relative to this one.
 const CLOCK_RATE: f64 = 0.98;
 
@@ -42,112 +45,6 @@
     pub longest_lease: Duration,
 }
 
-/// What an endpoint says of itself.
-#[derive(Clone, Debug, PartialEq)]
-pub struct EndpointReport {
-    /// Its id.
-    pub id: CompactString,
-    /// Wall-clock millisecond of its start, which tells incarnations apart.
-    pub born: u64,
-    /// Its service.
-    pub service: CompactString,
-    /// Its size.
-    pub capacity: Room,
-    /// Its kind.
-    pub kind: CompactString,
-    /// Its rack.
-    pub rack: CompactString,
-    /// It is about to leave.
-    pub draining: bool,
-    /// Rises with each report of an incarnation.
-    pub sequence: u64,
-}
-
-/// A task that runs at the endpoint.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct TaskProgress {
-    /// The run.
-    pub run: TaskRun,
-    /// Part of its work that is done.
-    pub percent: u32,
-}
-
-/// How a run has ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum HowEnded {
-    /// Done.
-    Done,
-    /// Failed, by its own fault or the endpoint's.
-    Failed,
-    /// Stopped, lapsed or broken off.
-    Cut,
-}
-
-/// A run that has ended.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct TaskEnd {
-    /// Number of the end, from 1 in each incarnation.
-    pub number: u64,
-    /// The run.
-    pub run: TaskRun,
-    /// How it ended.
-    pub how: HowEnded,
-}
-
-/// What the endpoint lists.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Listing {
-    /// When the listing was asked for.
-    pub asked_at: Duration,
-    /// The incarnation.
-    pub born: u64,
-    /// The endpoint's clock in milliseconds.
-    pub clock_ms: u64,
-    /// What runs.
-    pub running: Vec<TaskProgress>,
-    /// What has ended and was not acknowledged.
-    pub ended: Vec<TaskEnd>,
-}
-
-/// Why the endpoint did not start a task.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum StartRefusal {
-    /// A higher fencing token was seen.
-    Fenced,
-    /// The run's number is not above one seen before.
-    OldRun,
-    /// The start came after its deadline.
-    TooLate,
-    /// There is no room.
-    NoRoom,
-    /// The endpoint is not healthy.
-    Unhealthy,
-    /// Another incarnation answers at the address.
-    OtherIncarnation,
-    /// The request was not understood.
-    Invalid,
-}
-
-/// What became of a start.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum StartOutcome {
-    /// It runs.
-    Started,
-    /// It does not run and will not.
-    Refused(StartRefusal),
-    /// Nothing is known.
-    NoReply,
-}
-
-/// A task order as received.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Order {
-    /// The entry that sent it.
-    pub entry: EntryName,
-    /// What it asks for.
-    pub order: TaskOrder,
-}
-
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ExecutorAction {
@@ -525,114 +422,6 @@
         }
     }
 
-    /// Takes in what the endpoint lists.
-    pub fn on_listing(&mut self, now: Duration, listing: &Listing) {
-        // Only the latest request is answered, so that a listing asked for later is of the incarnation
-        // that is there, even where its clock has gone back.
-        if self.listed_at.is_some_and(|at| listing.asked_at < at) {
-            return;
-        }
-        if self.listed_born.is_some_and(|born| born != listing.born) {
-            self.on_reborn();
-        }
-        if self.listed_born.is_none() && self.started() > 0 {
-            // A start on its way from before, with a deadline on another clock, gets the longest lease.
-            self.leased_until_ms = listing.clock_ms + millis(self.settings.longest_lease);
-        }
-        self.listed_born = Some(listing.born);
-        self.listed_at = Some(now);
-        self.clock = Some((now, listing.clock_ms));
-        self.leased_until_ms = self.leased_until_ms.max(listing.clock_ms);
-        for end in &listing.ended {
-            self.on_end(now, end);
-        }
-        self.foreign.retain(|run, _| listing.running.iter().any(|found| found.run == *run));
-        let disturbed = self.slowness(now) > self.speed.usual();
-        for progress in &listing.running {
-            self.on_progress(now, progress, disturbed);
-        }
-        for name in self.names(|held| held.phase != Phase::Queued) {
-            self.settle(now, &name, listing);
-        }
-        self.start_due(now);
-    }
-
-    fn on_end(&mut self, now: Duration, end: &TaskEnd) {
-        if end.number <= self.last_acked {
-            return;
-        }
-        self.last_acked = end.number;
-        self.foreign.remove(&end.run);
-        let Some(held) = self.held.get(&end.run.task).filter(|held| held.run == end.run.run) else {
-            return;
-        };
-        let took = now.saturating_sub(held.started_at);
-        let work = held.work_time;
-        let fate = match end.how {
-            HowEnded::Done => {
-                self.speed.observe(now, work, took);
-                self.failures.add(now, 0.0);
-                Fate::Done(took)
-            }
-            HowEnded::Failed => {
-                self.failures.add(now, 1.0);
-                Fate::Failed
-            }
-            HowEnded::Cut => Fate::Stopped,
-        };
-        self.finish(&end.run.task, fate);
-    }
-
-    fn on_progress(&mut self, now: Duration, progress: &TaskProgress, disturbed: bool) {
-        let run = &progress.run;
-        let Some(held) = self.held.get_mut(&run.task).filter(|held| held.run == run.run) else {
-            if !self.foreign.contains(run) {
-                self.foreign.insert(run.clone(), now);
-                self.actions.push(ExecutorAction::Stop(run.clone()));
-            }
-            return;
-        };
-        if held.phase == Phase::Starting {
-            held.phase = Phase::Running;
-            held.confirmed_at = Some(now);
-        }
-        held.on_progress(now, progress.percent);
-        let usual = self.speed.usual();
-        let slow = held.slow_left(usual, disturbed).map(Fate::Slow);
-        let Some(fate) = slow.or_else(|| held.overrun(now).map(Fate::Overrun)) else {
-            return;
-        };
-        if held.told_at.is_some_and(|at| now < at + TELL_AGAIN) {
-            return;
-        }
-        held.told_at = Some(now);
-        let event = TaskEvent { run: run.clone(), fate };
-        self.actions.push(ExecutorAction::Tell(held.entry.clone(), event));
-    }
-
-    /// Settles a started task that is not listed, where it can no longer run.
-    fn settle(&mut self, now: Duration, name: &TaskName, listing: &Listing) {
-        let Some(held) = self.held.get(name) else {
-            return;
-        };
-        let same = |found: &TaskProgress| found.run.task == *name && found.run.run == held.run;
-        if listing.running.iter().any(same) {
-            return;
-        }
-        let asked_after = |moment: Option<Duration>| moment.is_some_and(|at| at < listing.asked_at);
-        let vanished = held.phase == Phase::Running && asked_after(held.confirmed_at);
-        let stopped = asked_after(held.stop_confirmed);
-        let expired = listing.clock_ms > held.until_ms
-            && now > held.started_at
-            && listing.asked_at > held.started_at
-            && held.phase == Phase::Starting;
-        if vanished {
-            self.finish(name, Fate::Stopped);
-        } else if held.phase == Phase::Starting && (stopped || expired) {
-            self.finish(name, Fate::NotStarted);
-        }
-    }
-
     /// Takes in that time has passed.
     pub fn on_tick(&mut self, now: Duration) {
         self.stop_unanswered(now);
@@ -701,60 +490,6 @@
     pub fn started(&self) -> usize {
         self.held.values().filter(|held| held.phase != Phase::Queued).count()
     }
-
-    /// Returns what entries are told of the endpoint.
-    pub fn status(&self, now: Duration) -> EndpointStatus {
-        let Some(known) = &self.endpoint else {
-            return EndpointStatus::default();
-        };
-        let free = self.reserved_free();
-        let slowness = self.slowness(now);
-        let (failing, seen) = self.failures.mean(now);
-        EndpointStatus {
-            usable: self.may_start(now),
-            service: known.service.clone(),
-            kind: known.kind.clone(),
-            rack: known.rack.clone(),
-            capacity: known.capacity,
-            free,
-            turnover: self.turnover(now, slowness),
-            queued: self.queued(now),
-            slowness,
-            // One failure among few is no sign yet.
-            failing: if seen < 3 { failing / 3.0 } else { failing },
-            orders_seen: 0,
-        }
-    }
-
-    /// Returns run times here relative to the work, as tasks that have ended and those that run tell.
-    fn slowness(&self, now: Duration) -> f64 {
-        // Tasks of one job are off by about the same factor, so that each job counts once.
-        let mut paces: SortedMap<&RequestId, f64> = SortedMap::new();
-        for (name, held) in self.held.iter() {
-            if let Some(pace) = held.pace() {
-                paces.insert(&name.request, pace);
-            }
-        }
-        self.speed.ratio(now, paces.into_values())
-    }
-
-    /// Returns the processors that queued tasks ask for, by the latest useful start.
-    fn queued(&self, now: Duration) -> QueuedCpu {
-        let mut queued = QueuedCpu::default();
-        for held in self.held.values().filter(|held| held.phase == Phase::Queued) {
-            let slack = held.start_by.saturating_sub(now);
-            queued.add((!held.late).then_some(slack), held.need.cpu_millis);
-        }
-        queued
-    }
-
-    fn turnover(&self, now: Duration, slowness: f64) -> Duration {
-        let started = self.held.values().filter(|held| held.phase != Phase::Queued);
-        let (sum, count) = started.fold((Duration::ZERO, 0u32), |(sum, count), held| {
-            (sum + held.remaining(now, slowness), count + 1)
-        });
-        sum / count.max(1)
-    }
 }
 
 fn millis(time: Duration) -> u64 {
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -4,6 +4,7 @@
 mod choice;
 mod decision;
 mod endpoint;
+mod message;
 mod rescue;
 mod task;
 
@@ -15,7 +16,6 @@
 use crate::job::{Answer, GiveUp, JobSpec, RefusalReason};
 use crate::place::EndpointStatus;
 use crate::predict::Predictor;
-use crate::room::Room;
 
 use admission::Refused;
 use choice::Ask;
@@ -23,6 +23,7 @@
 use task::{Job, Task, TaskState};
 
 pub use decision::Decision;
+pub use message::{Action, Fate, TaskEvent, TaskOrder};
 
 /// Time between the caller's first attempt and the arrival of the request here, and back.
 const CALLER_TRANSFER: Duration = Duration::from_millis(8);
@@ -45,68 +46,6 @@
     pub suspect_after: Duration,
 }
 
-/// How a task has fared at an agent.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Fate {
-    /// It has not run, and will not under this number.
-    NotStarted,
-    /// It has not run; the endpoint has seen a number as high or higher.
-    StaleRun,
-    /// It ran to its end, for so long.
-    Done(Duration),
-    /// It ran and failed.
-    Failed,
-    /// It was stopped or lost.
-    Stopped,
-    /// It runs at an endpoint that is far slower than usual, and needs about so much longer.
-    Slow(Duration),
-    /// It is more work than expected and cannot end in time, since it needs about so much longer.
-    Overrun(Duration),
-}
-
-/// What an agent tells of a task.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct TaskEvent {
-    /// The run.
-    pub run: TaskRun,
-    /// How it fared.
-    pub fate: Fate,
-}
-
-/// An order to run a task.
-#[derive(Clone, Debug, PartialEq)]
-pub struct TaskOrder {
-    /// The run.
-    pub run: TaskRun,
-    /// What the endpoint is handed.
-    pub work: std::sync::Arc<str>,
-    /// What the task needs.
-    pub need: Room,
-    /// Work expected: the run time on an endpoint of speed 1.
-    pub work_time: Duration,
-    /// Time within which a start serves the objective; zero where it is missed already.
-    pub start_within: Duration,
-    /// Time after which a start is of no use.
-    pub give_up: Duration,
-    /// Time by which the task must end for its caller to get the answer.
-    pub end_within: Duration,
-    /// Most tasks of the step at this endpoint; 0 for no limit.
-    pub most_here: u32,
-}
-
-/// What is to be done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// Send an order to an agent.
-    Order(AgentId, TaskOrder),
-    /// Take a task back from an agent, or stop it.
-    Recall(AgentId, TaskRun),
-    /// Answer the caller.
-    Answer(RequestId, Answer),
-    /// Record a decision.
-    Record(Decision),
-}
-
 /// The jobs of an entry and the endpoints it may use.
 pub struct Scheduler {
     settings: SchedulerSettings,
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -5,10 +5,10 @@
 
 use bytes::Bytes;
 use cowslipwing_platform::{HttpClient, HttpError};
+use cowslipwing_standin::platform::job_body;
 use hyper::{Method, StatusCode};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use serde_json::json;
 use tokio::time::sleep;
 
 use crate::fleet::Fleet;
@@ -86,13 +86,11 @@
         let id = format!("{:016x}", rng.random::<u64>());
         let tasks = rng.random_range(1..5);
         let (ms, cpu) = (rng.random_range(20..120), rng.random_range(500..2000));
-        let text = format!("ms={ms} cpu={cpu}");
-        let body = json!({"bestEffort": true, "taskSpec": text, "steps": [{"count": tasks,
-            "cpu": cpu, "memoryLimitMb": 16, "estimatedRuntimeMs": ms}]});
+        let body = job_body(tasks, ms, cpu);
         let (clients, seen) = (clients.clone(), seen.clone());
         let first = rng.random_range(0..fleet.entries);
         callers.spawn(async move {
-            let request = call(&clients, first, id, tasks, body.to_string().into()).await;
+            let request = call(&clients, first, id, tasks, body).await;
             seen.requests.lock().expect("no holder of the requests panics").push(request);
         });
     }
