--- a/crates/dispatch/tests/testsuite/executor.rs
+++ b/crates/dispatch/tests/testsuite/executor.rs
@@ -197,6 +197,18 @@
     assert_eq!(told(&actions), [(run(1), Fate::NotStarted)]);
 }
 
+/// A VM that was suspended may take in an order before it has looked at the time.
+#[test]
+fn an_order_under_a_lapsed_lease_is_not_taken() {
+    let mut executor = executor();
+    let at = START + ms(700);
+    executor.on_listing(at, &listing(at));
+    executor.on_order(at, order(0, 1000, ms(500)));
+    let actions = executor.take_actions();
+    assert_eq!(told(&actions), [(run(0), Fate::NotStarted)]);
+    assert!(starts(&actions).is_empty());
+}
+
 #[test]
 fn a_restarted_agent_stops_what_it_finds_before_it_starts_anything() {
     let mut executor = executor();
