--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -388,10 +388,7 @@
                 held.confirmed_at = Some(now);
             }
             StartOutcome::Started => {}
-            StartOutcome::NoReply => {
-                held.in_doubt = true;
-                self.recall_task(now, &run.task);
-            }
+            StartOutcome::NoReply => self.recall_task(now, &run.task),
             StartOutcome::Refused(refusal) => self.on_refused(now, run, refusal),
         }
         self.start_due(now);
--- a/crates/dispatch/src/executor/held.rs
+++ b/crates/dispatch/src/executor/held.rs
@@ -56,7 +56,6 @@
     pub(super) confirmed_at: Option<Duration>,
     /// Until when the start may be carried out, on the endpoint's clock.
     pub(super) until_ms: u64,
-    pub(super) in_doubt: bool,
     pub(super) stop_sent: Option<Duration>,
     pub(super) stop_confirmed: Option<Duration>,
     percent: u32,
@@ -84,7 +83,6 @@
             started_at: now,
             confirmed_at: None,
             until_ms: 0,
-            in_doubt: false,
             stop_sent: None,
             stop_confirmed: None,
             percent: 0,
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -17,7 +17,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
-use crate::http::{ListenError, Stage, listen};
+use crate::http::{self, ListenError, Stage, listen};
 use crate::members::Members;
 use crate::metrics::Metrics;
 
@@ -73,11 +73,11 @@
             streams::read_entries(store.clone(), members.clone()).boxed(),
             remembered::read(store.clone(), node.clone(), events.clone()).boxed(),
             remembered::write(store, node, latest).boxed(),
-            streams::run(members, name.clone(), common.node.to_string(), events.clone()).boxed(),
+            streams::run(members, name.clone(), events.clone()).boxed(),
         ];
         if let Some(port) = common.metrics_port {
             let listener = listen("platform.metrics_port", (common.ip, port).into()).await?;
-            loops.push(announced::serve_metrics(metrics, listener, stage.subscribe()).boxed());
+            loops.push(http::serve_metrics(metrics, listener, stage.subscribe()).boxed());
         }
         let tasks = loops.into_iter().map(tokio::spawn).collect();
         Ok(Self { name, grace: common.stop_grace, events, drained, tasks, _stage: stage })
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -95,7 +95,6 @@
 /// The state of an agent.
 pub(super) struct Actor {
     id: AgentId,
-    site: String,
     clock: Arc<dyn Clock>,
     metrics: Arc<Metrics>,
     members: Arc<Members>,
@@ -125,7 +124,6 @@
         };
         Self {
             id,
-            site: config.node.to_string(),
             clock,
             metrics,
             members: kept.members,
@@ -264,7 +262,6 @@
         // The entry has not heard this agent on this stream yet; it may send orders once it has.
         let hello = AgentHello {
             agent: self.id.to_string(),
-            site: self.site.clone(),
             held: self.executor.held_for(&entry).iter().map(run_to).collect(),
         };
         let frame = AgentFrame {
--- a/crates/node/src/agent/announced.rs
+++ b/crates/node/src/agent/announced.rs
@@ -13,7 +13,6 @@
 
 use super::actor::Event;
 use crate::http::{self, Body, Stage};
-use crate::metrics::Metrics;
 
 /// Largest announcement, in bytes, as the protocol has it.
 const MAX_BYTES: usize = 4 << 20;
@@ -28,19 +27,6 @@
     http::serve(listener, stage, Arc::new(AtomicUsize::new(0)), handle).await;
 }
 
-/// Serves metrics as text.
-pub(super) async fn serve_metrics(
-    metrics: Arc<Metrics>,
-    listener: TcpListener,
-    stage: watch::Receiver<Stage>,
-) {
-    let handle = move |_req: Request<Incoming>| {
-        let text = metrics.text();
-        async move { Response::new(Full::new(Bytes::from(text))) }
-    };
-    http::serve(listener, stage, Arc::new(AtomicUsize::new(0)), handle).await;
-}
-
 async fn take(events: mpsc::UnboundedSender<Event>, req: Request<Incoming>) -> Response<Body> {
     let status = match event_of(req).await {
         None => StatusCode::BAD_REQUEST,
--- a/crates/node/src/agent/streams.rs
+++ b/crates/node/src/agent/streams.rs
@@ -48,7 +48,6 @@
 pub(super) async fn run(
     members: Arc<Members>,
     agent: String,
-    site: String,
     events: mpsc::UnboundedSender<Event>,
 ) {
     let mut changes = members.changes();
@@ -57,7 +56,7 @@
     loop {
         for address in members.list() {
             if cowslipwing_types::insert_sorted(&mut served, address) {
-                log::info!("agent: event=entry-known agent={agent} site={site} entry={address}");
+                log::info!("agent: event=entry-known agent={agent} entry={address}");
                 tokio::spawn(keep_stream(address, events.clone(), attached.clone()));
             }
         }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -15,7 +15,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use crate::http::{ListenError, Stage, listen};
+use crate::http::{self, ListenError, Stage, listen};
 use crate::metrics::Metrics;
 
 use shared::Shared;
@@ -75,7 +75,7 @@
         ];
         if let Some(port) = common.metrics_port {
             let listener = listen("platform.metrics_port", (common.ip, port).into()).await?;
-            loops.push(callers::serve_metrics(metrics, listener, stage.subscribe()).boxed());
+            loops.push(http::serve_metrics(metrics, listener, stage.subscribe()).boxed());
         }
         let tasks = loops.into_iter().map(tokio::spawn).collect();
         Ok(Self { shared, stage, grace: common.stop_grace, tasks })
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
-use bytes::Bytes;
 use cowslipwing_dispatch::{Answer, JobSpec, RequestId};
 use cowslipwing_platform::{
     Call, CallerError, Head, Reply, decode_call, encode_answer, encode_error,
@@ -19,7 +18,6 @@
 
 use super::shared::Shared;
 use crate::http::{self, Body, Stage};
-use crate::metrics::Metrics;
 
 /// Serves callers until the entry is closing.
 pub(super) async fn serve(
@@ -54,19 +52,6 @@
     stage == Stage::Serving && configured && endpoints > 0
 }
 
-/// Serves metrics as text.
-pub(super) async fn serve_metrics(
-    metrics: Arc<Metrics>,
-    listener: TcpListener,
-    stage: watch::Receiver<Stage>,
-) {
-    let handle = move |_req: Request<Incoming>| {
-        let text = metrics.text();
-        async move { Response::new(Full::new(Bytes::from(text))) }
-    };
-    http::serve(listener, stage, Arc::new(AtomicUsize::new(0)), handle).await;
-}
-
 fn empty(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(Body::default());
     *response.status_mut() = status;
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -20,6 +20,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::metrics::Metrics;
+
 /// An address that cannot be listened on.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -153,3 +155,16 @@
         self.requests.fetch_sub(1, Ordering::Relaxed);
     }
 }
+
+/// Serves metrics as text until the process is closing.
+pub(crate) async fn serve_metrics(
+    metrics: Arc<Metrics>,
+    listener: TcpListener,
+    stage: watch::Receiver<Stage>,
+) {
+    let handle = move |_req: Request<Incoming>| {
+        let text = metrics.text();
+        async move { Response::new(Full::new(Bytes::from(text))) }
+    };
+    serve(listener, stage, Arc::new(AtomicUsize::new(0)), handle).await;
+}
