Ask for credits elsewhere where the credits held cannot be used

Cause: an owner counted all credits it held against what it asks for, also those of agents that had been withdrawn, were on probation, or were too small for what waits.

Ruled out: the withdrawal itself (the agent gives back what is queued at once), and lost grants (an ask is repeated after 400 ms).

Conclusion: only credits of agents that can take some waiting task count, and only such agents are asked.

--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -215,11 +215,25 @@
     ///
     /// The walk over the agents begins at `start`, a random number.
     pub fn asks(&mut self, now: Instant, start: usize) -> Vec<(Incarnation, u32)> {
-        let want = self.queue.demand().saturating_sub(self.placement.credits());
+        let needs = self.needs();
+        // Credits of agents that no waiting task can go to would otherwise keep it from being sent.
+        let usable = self.placement.usable_credits(now, &needs);
+        let want = self.queue.demand().saturating_sub(usable);
         if want == 0 {
             return Vec::new();
         }
-        self.asks.plan(now, want, &self.placement.askable(now), start)
+        self.asks.plan(now, want, &self.placement.askable(now, &needs), start)
+    }
+
+    /// Returns what the tasks that wait need, each kind once.
+    fn needs(&self) -> Vec<Need> {
+        let mut needs = Vec::new();
+        for need in self.queue.runnable().map(Waiting::need) {
+            if !needs.contains(&need) {
+                needs.push(need);
+            }
+        }
+        needs
     }
 
     /// Returns the credits to give back once nothing has waited for a while.
--- a/crates/policy/src/fair_queue.rs
+++ b/crates/policy/src/fair_queue.rs
@@ -193,6 +193,12 @@
         self.lanes.values().map(Lane::demand).sum()
     }
 
+    /// Walks the jobs of the customers that are within their limits.
+    pub fn runnable(&self) -> impl Iterator<Item = &J> {
+        let lanes = self.lanes.values().filter(|lane| lane.running < lane.limit);
+        lanes.flat_map(|lane| lane.jobs.iter().map(|waiting| &waiting.job))
+    }
+
     fn lane(&mut self, customer: &CustomerName) -> &mut Lane<J> {
         let empty = || Lane { jobs: VecDeque::new(), due: 0.0, share: 1, running: 0, limit: 0 };
         self.lanes.get_or_insert_with(customer.clone(), empty)
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -64,6 +64,12 @@
         self.credits > 0 && !self.leaving && self.capacity.fits(need) && self.is_trusted(now)
     }
 
+    /// Tells whether the agent may take a task which needs one of `needs`, apart from credits.
+    fn is_open_to(&self, now: Instant, needs: &[Need]) -> bool {
+        let fits = needs.iter().any(|need| self.capacity.fits(*need));
+        fits && !self.leaving && self.is_trusted(now)
+    }
+
     /// Tells whether the endpoint is not on probation, or due for a trial task.
     fn is_trusted(&self, now: Instant) -> bool {
         self.trial_at.is_none_or(|at| now >= at && self.running == 0)
@@ -174,9 +180,9 @@
         self.agents.values().any(|agent| !agent.leaving && agent.capacity.fits(need))
     }
 
-    /// Returns the agents worth asking for credits.
-    pub fn askable(&self, now: Instant) -> Vec<Askable> {
-        let askable = |agent: &Agent| agent.connected && !agent.leaving && agent.is_trusted(now);
+    /// Returns the agents worth asking for credits, for tasks of which each needs one of `needs`.
+    pub fn askable(&self, now: Instant, needs: &[Need]) -> Vec<Askable> {
+        let askable = |agent: &Agent| agent.connected && agent.is_open_to(now, needs);
         let present = self.agents.iter().filter(|(_, agent)| askable(agent));
         let ask = |(id, agent): (&Incarnation, &Agent)| Askable {
             id: id.clone(),
@@ -191,6 +197,12 @@
         self.agents.values().map(|agent| agent.credits).sum()
     }
 
+    /// Returns the credits held from agents that may take a task which needs one of `needs`.
+    pub fn usable_credits(&self, now: Instant, needs: &[Need]) -> u32 {
+        let usable = self.agents.values().filter(|agent| agent.is_open_to(now, needs));
+        usable.map(|agent| agent.credits).sum()
+    }
+
     /// Returns the slots of all agents that are not leaving.
     pub fn slots(&self) -> u32 {
         let present = self.agents.values().filter(|agent| agent.connected && !agent.leaving);
--- a/crates/policy/tests/testsuite/main.rs
+++ b/crates/policy/tests/testsuite/main.rs
@@ -2,3 +2,4 @@
 
 mod allotments;
 mod credits;
+mod dispatcher;
