Send a start again that got no answer, and list more often while answers are lost

Cause: a share of all orders or answers may be lost for seconds. A start without an answer was ruled out after 30 ms: stopped, confirmed, listed once more and sent elsewhere, at the earliest some 100 ms later, which is the whole objective of the short tasks; work that had started was thrown away. A lost listing hid the ends for 80 ms. Two lost answers in a row closed all idle connections. Besides, a task that a listing had shown to run was stopped when the call that had started it ended without an answer after 150 ms.

Now: the same run with the same deadline is sent again after 10 and 20 ms, or at once where its connection broke, since an endpoint takes each run only once. A refusal of one copy settles nothing while another is in doubt. Answers to copies change nothing once the task runs. Listings wait 15 ms in place of 45 for half a second after a lost answer. Idle connections are closed only where nothing was answered for 80 ms.

Ruled out: a shorter deadline for orders, since deadlines never shorten at the endpoint; sending elsewhere at once, since the first may start.

The random worlds now end calls without an answer at once or after 150 ms.

--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -29,6 +29,10 @@
 const STOP_AGAIN: Duration = Duration::from_millis(40);
 /// Time in which a sound endpoint confirms a start or lists it, many times over.
 const START_ANSWER: Duration = Duration::from_millis(30);
+/// Time after which a start without an answer is sent again; a sound endpoint answers within 1 ms.
+const START_AGAIN: Duration = Duration::from_millis(10);
+/// Most times that a start is sent: as often as it fits into [`START_ANSWER`].
+const START_SENDS: u32 = 3;
 /// Silence of the endpoint after which it takes no new tasks.
 const SILENCE_LIMIT: Duration = Duration::from_millis(900);
 /// Rate at which the endpoint's clock runs at least, relative to this one.
@@ -56,6 +60,8 @@
         work: Arc<str>,
         /// Until when the start may be carried out, on the endpoint's clock in milliseconds.
         until_ms: u64,
+        /// How often it was sent, this time included.
+        sends: u32,
     },
     /// Stop a run at the endpoint.
     Stop(TaskRun),
@@ -196,6 +202,7 @@
         for (_, held) in self.held.iter_mut().filter(|(_, held)| held.phase != Phase::Queued) {
             // Deadlines were on the former incarnation's clock.
             held.until_ms = u64::MAX;
+            held.sends = START_SENDS;
             held.stop_confirmed = None;
         }
     }
@@ -354,9 +361,12 @@
         held.phase = Phase::Starting;
         held.until_ms = until_ms;
         held.started_at = now;
+        held.sent_at = now;
+        held.sends = 1;
         free.take(held.need);
         let run = TaskRun { task: name.clone(), run: held.run };
-        self.actions.push(ExecutorAction::Start { run, work: held.work.clone(), until_ms });
+        let work = held.work.clone();
+        self.actions.push(ExecutorAction::Start { run, work, until_ms, sends: 1 });
     }
 
     /// Tells whether as many tasks of the step run here as may.
@@ -377,23 +387,47 @@
         free
     }
 
-    /// Takes in what became of a start.
+    /// Takes in what became of a start, or of one of its copies.
     pub fn on_start_reply(&mut self, now: Duration, run: &TaskRun, outcome: StartOutcome) {
         let Some(held) = self.held.get_mut(&run.task).filter(|held| held.run == run.run) else {
             return;
         };
+        if held.phase != Phase::Starting {
+            // Another copy was answered before, or the run is listed.
+            return;
+        }
         match outcome {
-            StartOutcome::Started if held.phase == Phase::Starting => {
+            StartOutcome::Started => {
                 held.phase = Phase::Running;
                 held.confirmed_at = Some(now);
             }
-            StartOutcome::Started => {}
-            StartOutcome::NoReply => self.recall_task(now, &run.task),
+            StartOutcome::NoReply => self.start_again(now, &run.task),
+            // Another copy may still be carried out, unless no incarnation is there to do so.
+            StartOutcome::Refused(refusal)
+                if held.sends > 1 && refusal != StartRefusal::OtherIncarnation =>
+            {
+                self.recall_task(now, &run.task);
+            }
             StartOutcome::Refused(refusal) => self.on_refused(now, run, refusal),
         }
         self.start_due(now);
     }
 
+    /// Sends a copy of a start that was not answered. The endpoint takes each run only once.
+    fn start_again(&mut self, now: Duration, name: &TaskName) {
+        let Some(held) = self.held.get_mut(name) else {
+            return;
+        };
+        if held.stop_sent.is_some() || held.sends >= START_SENDS {
+            return;
+        }
+        held.sends += 1;
+        held.sent_at = now;
+        let run = TaskRun { task: name.clone(), run: held.run };
+        let (work, until_ms, sends) = (held.work.clone(), held.until_ms, held.sends);
+        self.actions.push(ExecutorAction::Start { run, work, until_ms, sends });
+    }
+
     fn on_refused(&mut self, now: Duration, run: &TaskRun, refusal: StartRefusal) {
         match refusal {
             StartRefusal::OldRun => self.finish(&run.task, Fate::StaleRun),
@@ -421,20 +455,23 @@
 
     /// Takes in that time has passed.
     pub fn on_tick(&mut self, now: Duration) {
-        self.stop_unanswered(now);
+        self.follow_unanswered(now);
         self.stop_unleased(now);
         self.lose_lapsed(now);
         self.send_stops_again(now);
         self.start_due(now);
     }
 
-    /// Rules out starts that were not answered and are not listed, so that the tasks can go elsewhere.
-    fn stop_unanswered(&mut self, now: Duration) {
-        let unanswered =
-            |held: &Held| held.phase == Phase::Starting && now >= held.started_at + START_ANSWER;
-        for name in self.names(unanswered) {
+    /// Sends starts again that were not answered and are not listed, and in the end rules them out, so
+    /// that the tasks can go elsewhere.
+    fn follow_unanswered(&mut self, now: Duration) {
+        let starting = |held: &Held| held.phase == Phase::Starting;
+        for name in self.names(|held| starting(held) && now >= held.started_at + START_ANSWER) {
             self.recall_task(now, &name);
         }
+        for name in self.names(|held| starting(held) && now >= held.sent_at + START_AGAIN) {
+            self.start_again(now, &name);
+        }
     }
 
     fn stop_unleased(&mut self, now: Duration) {
--- a/crates/dispatch/src/executor/held.rs
+++ b/crates/dispatch/src/executor/held.rs
@@ -53,6 +53,10 @@
     pub(super) most_here: u32,
     pub(super) phase: Phase,
     pub(super) started_at: Duration,
+    /// When the start was last sent.
+    pub(super) sent_at: Duration,
+    /// Times that the start was sent.
+    pub(super) sends: u32,
     pub(super) confirmed_at: Option<Duration>,
     /// Until when the start may be carried out, on the endpoint's clock.
     pub(super) until_ms: u64,
@@ -81,6 +85,8 @@
             most_here: order.most_here,
             phase: Phase::Queued,
             started_at: now,
+            sent_at: now,
+            sends: 0,
             confirmed_at: None,
             until_ms: 0,
             stop_sent: None,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 //! endpoint. Both are state machines: events and the time go in, actions come out. Times are
 //! durations since the VM booted, so that a suspended VM sees them pass.
 
+mod answers;
 mod executor;
 mod id;
 mod job;
@@ -15,6 +16,7 @@
 mod samples;
 mod scheduler;
 
+pub use answers::Answers;
 pub use executor::{
     EndpointReport, Executor, ExecutorAction, ExecutorSettings, HowEnded, Listing, Order,
     StartOutcome, StartRefusal, TaskEnd, TaskProgress,
--- a/crates/dispatch/tests/testsuite/main.rs
+++ b/crates/dispatch/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Decisions, replayed against the loads and faults that they answer.
 
+mod answers;
 mod executor;
 mod placement;
 mod scheduler;
--- a/crates/dispatch/tests/testsuite/world.rs
+++ b/crates/dispatch/tests/testsuite/world.rs
@@ -17,6 +17,8 @@
 use crate::support::{ms, room};
 
 const CAPACITY: u32 = 4000;
+/// Time after which a call ends without an answer.
+const CALL_LIMIT: Duration = Duration::from_millis(150);
 
 /// A call that the endpoint has not carried out yet.
 #[derive(Clone)]
@@ -90,6 +92,8 @@
     endpoint: Endpoint,
     /// Calls without an answer, carried out at a later time.
     late: Vec<(Duration, Call)>,
+    /// Starts whose calls end without an answer at some time.
+    unanswered: Vec<(Duration, TaskRun)>,
     /// Run and room of each task ordered.
     ordered: BTreeMap<TaskRun, u32>,
     not_started: Vec<TaskRun>,
@@ -112,6 +116,7 @@
             executor: Executor::new(settings),
             endpoint: Endpoint::default(),
             late: Vec::new(),
+            unanswered: Vec::new(),
             ordered: BTreeMap::new(),
             not_started: Vec::new(),
             next: 0,
@@ -195,8 +200,12 @@
             match action {
                 ExecutorAction::Start { run, until_ms, .. } => {
                     let call = Call::Start { run: run.clone(), until_ms };
-                    let outcome = self.call(call, luck).unwrap_or(StartOutcome::NoReply);
-                    self.executor.on_start_reply(self.now, &run, outcome);
+                    match self.call(call, luck) {
+                        Some(outcome) => self.executor.on_start_reply(self.now, &run, outcome),
+                        // The connection breaks at once, or the call ends without an answer later.
+                        None if luck % 16 < 8 => self.no_reply(&run),
+                        None => self.unanswered.push((self.now + CALL_LIMIT, run)),
+                    }
                 }
                 ExecutorAction::Stop(run) => {
                     if self.call(Call::Stop(run.clone()), luck / 8).is_some() {
@@ -212,9 +221,17 @@
         }
     }
 
+    fn no_reply(&mut self, run: &TaskRun) {
+        self.executor.on_start_reply(self.now, run, StartOutcome::NoReply);
+    }
+
     fn step(&mut self, by: Duration) {
         self.now += by;
         let now = self.now;
+        let (over, open) = self.unanswered.iter().cloned().partition(|(at, _)| now >= *at);
+        self.unanswered = open;
+        let over: Vec<(Duration, TaskRun)> = over;
+        over.iter().for_each(|(_, run)| self.no_reply(run));
         let due: Vec<Call> =
             self.late.iter().filter(|(at, _)| now >= *at).map(|(_, call)| call.clone()).collect();
         self.late.retain(|(at, _)| now < *at);
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -148,6 +148,8 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
+                // An answer that is here already counts before the time that has passed.
+                biased;
                 event = events.recv() => match event {
                     Some(event) => self.on_event(event),
                     None => return,
@@ -348,8 +350,12 @@
         let id = self.endpoint_id();
         for action in self.executor.take_actions() {
             match action {
-                ExecutorAction::Start { run, work, until_ms } => {
+                ExecutorAction::Start { run, work, until_ms, sends } => {
                     self.metrics.count("start");
+                    if sends > 1 {
+                        self.metrics.count("start_again");
+                        log::info!("agent: event=start-again task={run} sends={sends}");
+                    }
                     self.calls.start(id.clone(), run, work, until_ms);
                 }
                 ExecutorAction::Stop(run) => {
--- a/crates/node/src/agent/calls.rs
+++ b/crates/node/src/agent/calls.rs
@@ -1,11 +1,11 @@
 //! Calls to the endpoint, each of which reports back as an event.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use cowslipwing_dispatch::{StartOutcome, StartRefusal, TaskRun};
+use cowslipwing_dispatch::{Answers, StartOutcome, StartRefusal, TaskRun};
 use cowslipwing_platform::{EndpointClient, EndpointError, ListRequest};
 use cowslipwing_types::Clock;
 use tokio::sync::mpsc;
@@ -19,26 +19,18 @@
 /// Time in which the endpoint must answer with a listing, beyond the time it was to wait; what has
 /// ended is seen late by as much where an answer is lost.
 const LIST_LIMIT: Duration = Duration::from_millis(35);
-/// Longest wait of a listing while tasks run, so that their progress is seen.
-const BUSY_WAIT: Duration = Duration::from_millis(45);
-/// Longest wait of a listing while nothing runs.
-const IDLE_WAIT: Duration = Duration::from_millis(300);
 /// Time between two listings where the endpoint does not answer.
 const LIST_RETRY: Duration = Duration::from_millis(5);
 /// Addition to a fencing token that was refused; an earlier incarnation whose clock was ahead had a
 /// higher one, by at most the steps of clocks seen so far. It doubles with each refusal.
 const FENCE_STEP: u64 = 4000;
 
-/// Calls in a row without an answer from which connections that no call uses are closed, since all of
-/// them may have fallen silent. A single answer may be lost without that.
-const SILENT_CALLS: u32 = 2;
-
 /// Makes the calls.
 #[derive(Clone)]
 pub(super) struct Calls {
     client: Arc<EndpointClient>,
     fence: Arc<Fence>,
-    unanswered: Arc<AtomicU32>,
+    answers: Arc<Mutex<Answers>>,
     clock: Arc<dyn Clock>,
     events: mpsc::UnboundedSender<Event>,
 }
@@ -75,7 +67,7 @@
         Self {
             client: Arc::new(EndpointClient::new(endpoint)),
             fence: Arc::new(fence),
-            unanswered: Arc::default(),
+            answers: Arc::default(),
             clock,
             events,
         }
@@ -86,11 +78,14 @@
         let _ = self.events.send(event);
     }
 
+    fn answers(&self) -> MutexGuard<'_, Answers> {
+        self.answers.lock().expect("no holder of the answers panics")
+    }
+
     /// Notes whether a call was answered.
-    fn on_answer(&self, answered: bool) {
-        if answered {
-            self.unanswered.store(0, Ordering::Relaxed);
-        } else if self.unanswered.fetch_add(1, Ordering::Relaxed) + 1 >= SILENT_CALLS {
+    fn on_call(&self, answered: bool) {
+        if self.answers().on_call(self.clock.since_boot(), answered) {
+            log::info!("agent: event=connections-closed reason=silent");
             self.client.close_idle();
         }
     }
@@ -102,7 +97,7 @@
             let fence = calls.fence.get();
             let limit = START_LIMIT;
             let outcome = calls.client.start(&id, fence, &run, &work, until_ms, limit).await;
-            calls.on_answer(outcome != StartOutcome::NoReply);
+            calls.on_call(outcome != StartOutcome::NoReply);
             if outcome == StartOutcome::Refused(StartRefusal::Fenced) {
                 calls.fence.raise(fence);
             }
@@ -133,11 +128,11 @@
         tokio::spawn(async move {
             let asked_at = calls.clock.since_boot();
             let fence = calls.fence.get();
-            let wait = if idle { IDLE_WAIT } else { BUSY_WAIT };
+            let wait = calls.answers().listing_wait(asked_at, idle);
             let limit = wait + LIST_LIMIT;
             let ask = ListRequest { until_ms, last_acked, wait, asked_at };
             let listed = calls.client.list(&id, fence, ask, limit).await;
-            calls.on_answer(!matches!(listed, Err(EndpointError::NoAnswer { .. })));
+            calls.on_call(!matches!(listed, Err(EndpointError::NoAnswer { .. })));
             if let Err(error) = &listed {
                 if matches!(error, EndpointError::Fenced) {
                     calls.fence.raise(fence);
