--- a/crates/dispatch/src/answers.rs
+++ b/crates/dispatch/src/answers.rs
@@ -37,23 +37,28 @@
 pub struct Answers {
     /// Calls in a row without an answer.
     unanswered: u32,
+    /// The connections were closed in this silence.
+    closed: bool,
     answered_at: Option<Duration>,
     lost_at: Option<Duration>,
 }
 
 impl Answers {
-    /// Notes whether a call was answered; tells whether connections that no call uses are to be closed,
-    /// since they may all have fallen silent.
+    /// Notes whether a call was answered; tells, once in each silence, whether connections that no call
+    /// uses are to be closed, since they may all have fallen silent.
     pub fn on_call(&mut self, now: Duration, answered: bool) -> bool {
         if answered {
             self.unanswered = 0;
+            self.closed = false;
             self.answered_at = Some(now);
             return false;
         }
         self.unanswered += 1;
         self.lost_at = Some(now);
         let is_silent = self.answered_at.is_none_or(|at| now >= at + SILENT_TIME);
-        self.unanswered >= SILENT_CALLS && is_silent
+        let closes = self.unanswered >= SILENT_CALLS && is_silent && !self.closed;
+        self.closed |= closes;
+        closes
     }
 
     /// Returns how long a listing may wait for an end, with or without tasks that run.
--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -31,6 +31,9 @@
 const START_ANSWER: Duration = Duration::from_millis(30);
 /// Time after which a start without an answer is sent again; a sound endpoint answers within 1 ms.
 const START_AGAIN: Duration = Duration::from_millis(10);
+/// Age of the last listing from which the endpoint is silent, and copies of starts are of no use: some
+/// three times as old as listings become while a share of the answers is lost.
+const COPY_LISTING_AGE: Duration = Duration::from_millis(150);
 /// Most times that a start is sent: as often as it fits into [`START_ANSWER`].
 const START_SENDS: u32 = 3;
 /// Silence of the endpoint after which it takes no new tasks.
@@ -420,10 +423,11 @@
 
     /// Sends a copy of a start that was not answered. The endpoint takes each run only once.
     fn start_again(&mut self, now: Duration, name: &TaskName) {
+        let is_silent = self.listed_at.is_none_or(|at| now >= at + COPY_LISTING_AGE);
         let Some(held) = self.held.get_mut(name) else {
             return;
         };
-        if held.stop_sent.is_some() || held.sends >= START_SENDS {
+        if is_silent || held.stop_sent.is_some() || held.sends >= START_SENDS {
             return;
         }
         held.sends += 1;
--- a/crates/dispatch/tests/testsuite/answers.rs
+++ b/crates/dispatch/tests/testsuite/answers.rs
@@ -32,12 +32,13 @@
         Case { name: "two at once", lost: &[20, 20], closes: false },
         Case { name: "two over a while", lost: &[20, 90], closes: true },
         Case { name: "several", lost: &[20, 30, 60, 100], closes: true },
+        Case { name: "a long silence", lost: &[80, 160, 240, 320, 400], closes: true },
     ];
     for case in cases {
         let mut answers = Answers::default();
         answers.on_call(START, true);
-        let closes = case.lost.iter().map(|at| answers.on_call(START + ms(*at), false)).last();
-        assert_eq!(closes, Some(case.closes), "{}", case.name);
+        let closed = case.lost.iter().filter(|at| answers.on_call(START + ms(**at), false));
+        assert_eq!(closed.count(), usize::from(case.closes), "{}", case.name);
     }
 }
 
--- a/crates/dispatch/tests/testsuite/executor.rs
+++ b/crates/dispatch/tests/testsuite/executor.rs
@@ -171,6 +171,20 @@
     assert_eq!(executor.take_actions(), [ExecutorAction::Stop(run(0))]);
 }
 
+/// Load pattern: an endpoint answers nothing at all. Each copy would take a connection of its own.
+#[test]
+fn a_silent_endpoint_gets_no_copies() {
+    let mut executor = executor();
+    let at = START + ms(145);
+    executor.on_order(at, order(0, 4000, ms(500)));
+    executor.take_actions();
+    executor.on_tick(at + ms(10));
+    executor.on_start_reply(at + ms(11), &run(0), StartOutcome::NoReply);
+    assert!(executor.take_actions().is_empty());
+    executor.on_tick(at + ms(30));
+    assert_eq!(executor.take_actions(), [ExecutorAction::Stop(run(0))]);
+}
+
 #[test]
 fn a_start_whose_connection_broke_is_sent_again_at_once() {
     let mut executor = executor();
