Declare checked ids by one macro

Cause: the types of names stood twice, in cowslipwing-types and in cowslipwing-dispatch. Now: text_id! of cowslipwing-types, with the error and the check as arguments. No change of behaviour; tests of both crates pass.

--- a/crates/dispatch/src/id.rs
+++ b/crates/dispatch/src/id.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 
 use compact_str::CompactString;
+use cowslipwing_types::text_id;
 use snafu::Snafu;
 
 /// Longest id accepted, in bytes.
@@ -36,36 +37,7 @@
     Ok(id.into())
 }
 
-macro_rules! id {
-    ($(#[$doc:meta])* $kind:ident) => {
-        $(#[$doc])*
-        #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-        pub struct $kind(CompactString);
-
-        impl $kind {
-            /// Returns the id as text.
-            pub fn as_str(&self) -> &str {
-                &self.0
-            }
-        }
-
-        impl fmt::Display for $kind {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(&self.0)
-            }
-        }
-
-        impl FromStr for $kind {
-            type Err = IdError;
-
-            fn from_str(id: &str) -> Result<Self, IdError> {
-                check(id).map(Self)
-            }
-        }
-    };
-}
-
-id!(
+text_id!(
     /// Names a request, as its caller chose.
     ///
     /// # Examples
@@ -77,15 +49,15 @@
     /// assert_eq!(id.to_string(), "5c0e7a21d94b36f8");
     /// assert!("5c0e 7a21".parse::<RequestId>().is_err());
     /// ```
-    RequestId
+    RequestId, IdError, check
 );
-id!(
+text_id!(
     /// Names one incarnation of an agent.
-    AgentId
+    AgentId, IdError, check
 );
-id!(
+text_id!(
     /// Names one incarnation of an entry.
-    EntryName
+    EntryName, IdError, check
 );
 
 impl AgentId {
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -1,8 +1,5 @@
 //! Names of customers, endpoints, entries, sites and batches.
 
-use std::fmt;
-use std::str::FromStr;
-
 use compact_str::CompactString;
 use snafu::Snafu;
 
@@ -47,37 +44,63 @@
     }
 }
 
-macro_rules! name {
-    ($(#[$doc:meta])* $kind:ident) => {
+fn take_name(name: &str) -> Result<CompactString, NameError> {
+    check_name(name).map(|()| name.into())
+}
+
+/// Declares a type of checked text: its error type, and the function that checks and takes the text.
+///
+/// The crate that uses it depends on `compact_str`.
+///
+/// # Examples
+///
+/// ```
+/// use compact_str::CompactString;
+///
+/// fn check(text: &str) -> Result<CompactString, &'static str> {
+///     if text.is_empty() { Err("give a name") } else { Ok(text.into()) }
+/// }
+///
+/// cowslipwing_types::text_id!(
+///     /// Names a rack.
+///     Rack, &'static str, check
+/// );
+///
+/// let rack: Rack = "r1-3".parse().unwrap();
+/// assert_eq!(rack.to_string(), "r1-3");
+/// assert!("".parse::<Rack>().is_err());
+/// ```
+#[macro_export]
+macro_rules! text_id {
+    ($(#[$doc:meta])* $kind:ident, $error:ty, $check:path) => {
         $(#[$doc])*
         #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-        pub struct $kind(CompactString);
+        pub struct $kind(::compact_str::CompactString);
 
         impl $kind {
-            /// Returns the name as text.
+            /// Returns the text.
             pub fn as_str(&self) -> &str {
                 &self.0
             }
         }
 
-        impl fmt::Display for $kind {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        impl ::std::fmt::Display for $kind {
+            fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
                 f.write_str(&self.0)
             }
         }
 
-        impl FromStr for $kind {
-            type Err = NameError;
+        impl ::std::str::FromStr for $kind {
+            type Err = $error;
 
-            fn from_str(name: &str) -> Result<Self, Self::Err> {
-                check_name(name)?;
-                Ok(Self(name.into()))
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                $check(text).map(Self)
             }
         }
     };
 }
 
-name!(
+text_id!(
     /// Names a customer.
     ///
     /// # Examples
@@ -89,29 +112,29 @@
     /// assert_eq!(name.to_string(), "orchid-nursery");
     /// assert!("orchid nursery".parse::<CustomerName>().is_err());
     /// ```
-    CustomerName
+    CustomerName, NameError, take_name
 );
-name!(
+text_id!(
     /// Names a batch of a customer's jobs.
-    BatchName
+    BatchName, NameError, take_name
 );
-name!(
+text_id!(
     /// Names an endpoint.
-    EndpointName
+    EndpointName, NameError, take_name
 );
-name!(
+text_id!(
     /// Names one incarnation of an entry; a restarted entry has another id.
-    EntryId
+    EntryId, NameError, take_name
 );
-name!(
+text_id!(
     /// Names one incarnation of an agent.
-    Incarnation
+    Incarnation, NameError, take_name
 );
-name!(
+text_id!(
     /// Names a data centre.
-    Site
+    Site, NameError, take_name
 );
-name!(
+text_id!(
     /// Names one append to the decisions on the platform's store.
-    AppendId
+    AppendId, NameError, take_name
 );
