Split the executor, its tests and the searched world by topic

The executor had three jobs in 540 lines: what starts, what is stopped, and what an endpoint's new start means. Each has its file now; the reading of the endpoint's clock and the name of a run, which stood twice and six times, have one place. The executor's tests follow the same topics; the searched world has its events, its owners and its takeover apart. The client of the endpoint has one function in place of two that passed arguments on.

Tried and left: one function for the subcommands of the tool, where three files share the lines by which the argument parser declares them. It came out no shorter and needs a bound on lifetimes.

--- a/crates/dispatch/src/executor/held.rs
+++ b/crates/dispatch/src/executor/held.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::id::EntryName;
+use crate::id::{EntryName, TaskName, TaskRun};
 use crate::room::Room;
 use crate::scheduler::TaskOrder;
 
@@ -98,6 +98,11 @@
         }
     }
 
+    /// Returns the run of the task, whose name is that under which it is held.
+    pub(super) fn run_of(&self, name: &TaskName) -> TaskRun {
+        TaskRun { task: name.clone(), run: self.run }
+    }
+
     /// Tells whether a start is of no use here any more.
     pub(super) fn is_overdue(&self, now: Duration) -> bool {
         now >= self.give_up_at || (!self.late && now > self.start_by)
