Name the withdrawal of a run and of a batch by the field's terms

A run is cancelled, in code, messages and log lines; a batch is withdrawn, as everywhere else. No change of behaviour.

--- a/crates/cli/src/cmd/batch.rs
+++ b/crates/cli/src/cmd/batch.rs
@@ -1,4 +1,4 @@
-//! `cowslipwing batch`: recalls the jobs of a batch.
+//! `cowslipwing batch`: withdraws the jobs of a batch.
 
 use bpaf::{Parser, construct, positional};
 use volo_http::http::Method;
@@ -24,7 +24,7 @@
         .to_options()
         .descr("Withdraws every job of a batch, open or still to come")
         .command("withdraw");
-    withdraw.to_options().descr("Recalls batches of jobs").command("batch")
+    withdraw.to_options().descr("Withdraws batches of jobs").command("batch")
 }
 
 /// Runs the subcommand.
--- a/crates/dispatch/src/executor/start.rs
+++ b/crates/dispatch/src/executor/start.rs
@@ -123,7 +123,7 @@
             StartOutcome::Refused(refusal)
                 if held.sends > 1 && refusal != StartRefusal::OtherIncarnation =>
             {
-                self.recall_task(now, &run.task);
+                self.cancel_task(now, &run.task);
             }
             StartOutcome::Refused(refusal) => self.on_refused(now, run, refusal),
         }
@@ -169,7 +169,7 @@
     pub(super) fn follow_unanswered(&mut self, now: Duration) {
         let starting = |held: &Held| held.phase == Phase::Starting;
         for name in self.names(|held| starting(held) && now >= held.started_at + START_ANSWER) {
-            self.recall_task(now, &name);
+            self.cancel_task(now, &name);
         }
         for name in self.names(|held| starting(held) && now >= held.sent_at + START_AGAIN) {
             self.start_again(now, &name);
--- a/crates/dispatch/src/executor/stop.rs
+++ b/crates/dispatch/src/executor/stop.rs
@@ -16,19 +16,19 @@
     pub fn on_entry_gone(&mut self, now: Duration, entry: &EntryName) {
         self.entries.remove(entry);
         for name in self.names(|held| held.entry == *entry) {
-            self.recall_task(now, &name);
+            self.cancel_task(now, &name);
         }
     }
 
     /// Takes a run back, or stops it.
-    pub fn on_recall(&mut self, now: Duration, entry: &EntryName, run: &TaskRun) {
+    pub fn on_cancel(&mut self, now: Duration, entry: &EntryName, run: &TaskRun) {
         let of_entry = |held: &Held| held.entry == *entry && held.run == run.run;
         if self.held.get(&run.task).is_some_and(of_entry) {
-            self.recall_task(now, &run.task);
+            self.cancel_task(now, &run.task);
         }
     }
 
-    pub(super) fn recall_task(&mut self, now: Duration, name: &TaskName) {
+    pub(super) fn cancel_task(&mut self, now: Duration, name: &TaskName) {
         let Some(held) = self.held.get_mut(name) else {
             return;
         };
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -255,9 +255,9 @@
             return;
         };
         for task in &job.tasks {
-            if let TaskState::Sent { agent, recalled: false, .. } = &task.state {
+            if let TaskState::Sent { agent, cancelled: false, .. } = &task.state {
                 let run = TaskRun { task: task.name.clone(), run: task.runs };
-                self.actions.push(Action::Recall(agent.clone(), run));
+                self.actions.push(Action::Cancel(agent.clone(), run));
             }
         }
         if let Some(answer) = answer {
--- a/crates/dispatch/src/scheduler/message.rs
+++ b/crates/dispatch/src/scheduler/message.rs
@@ -64,7 +64,7 @@
     /// Send an order to an agent.
     Order(AgentId, TaskOrder),
     /// Take a task back from an agent, or stop it.
-    Recall(AgentId, TaskRun),
+    Cancel(AgentId, TaskRun),
     /// Answer the caller.
     Answer(RequestId, Answer),
     /// Record a decision.
--- a/crates/dispatch/src/scheduler/rescue.rs
+++ b/crates/dispatch/src/scheduler/rescue.rs
@@ -82,14 +82,14 @@
             return;
         };
         let task = &mut job.tasks[at];
-        let TaskState::Sent { recalled, .. } = &mut task.state else {
+        let TaskState::Sent { cancelled, .. } = &mut task.state else {
             return;
         };
-        if std::mem::replace(recalled, true) {
+        if std::mem::replace(cancelled, true) {
             return;
         }
         let run = TaskRun { task: name.clone(), run: task.runs };
         self.actions.push(Action::Record(decision(&run)));
-        self.actions.push(Action::Recall(agent.clone(), run));
+        self.actions.push(Action::Cancel(agent.clone(), run));
     }
 }
--- a/crates/dispatch/src/scheduler/task.rs
+++ b/crates/dispatch/src/scheduler/task.rs
@@ -13,7 +13,7 @@
     /// At the entry.
     Waiting,
     /// At an agent, as far as is known.
-    Sent { agent: AgentId, sent_at: Duration, expected: Duration, work: Duration, recalled: bool },
+    Sent { agent: AgentId, sent_at: Duration, expected: Duration, work: Duration, cancelled: bool },
     /// Done.
     Done,
 }
@@ -61,8 +61,13 @@
         work: Duration,
     ) -> TaskRun {
         self.runs += 1;
-        self.state =
-            TaskState::Sent { agent: agent.clone(), sent_at: now, expected, work, recalled: false };
+        self.state = TaskState::Sent {
+            agent: agent.clone(),
+            sent_at: now,
+            expected,
+            work,
+            cancelled: false,
+        };
         TaskRun { task: self.name.clone(), run: self.runs }
     }
 
--- a/crates/dispatch/tests/testsuite/scheduler.rs
+++ b/crates/dispatch/tests/testsuite/scheduler.rs
@@ -136,8 +136,8 @@
     scheduler.on_tick(START + ms(1500));
     let actions = scheduler.take_actions();
     assert!(matches!(answers(&actions)[..], [(_, Answer::GaveUp { .. })]));
-    let recalls = actions.iter().filter(|action| matches!(action, Action::Recall(..)));
-    assert_eq!(recalls.count(), 1);
+    let cancels = actions.iter().filter(|action| matches!(action, Action::Cancel(..)));
+    assert_eq!(cancels.count(), 1);
 }
 
 #[test]
@@ -147,8 +147,8 @@
     scheduler.take_actions();
     assert!(scheduler.cancel(&"a1".parse().unwrap()));
     let actions = scheduler.take_actions();
-    let recalls = actions.iter().filter(|action| matches!(action, Action::Recall(..)));
-    assert_eq!(recalls.count(), 3);
+    let cancels = actions.iter().filter(|action| matches!(action, Action::Cancel(..)));
+    assert_eq!(cancels.count(), 3);
     assert!(answers(&actions).is_empty());
 }
 
@@ -174,8 +174,8 @@
         scheduler.on_status(START, &agent(1), status(32_000, case.other));
         scheduler.take_actions();
         let actions = tell(&mut scheduler, START + ms(60), &sent[0], Fate::Slow(case.left));
-        let recalled = actions.iter().any(|action| matches!(action, Action::Recall(..)));
-        assert_eq!(recalled, case.moves, "{}", case.name);
+        let cancelled = actions.iter().any(|action| matches!(action, Action::Cancel(..)));
+        assert_eq!(cancelled, case.moves, "{}", case.name);
         // The next run waits until the former one has ended.
         assert!(orders(&actions).is_empty(), "{}", case.name);
     }
@@ -194,8 +194,8 @@
     }
     let actions = tell(&mut scheduler, now, &sent[0], Fate::Overrun(ms(1600)));
     assert!(matches!(answers(&actions)[..], [(_, Answer::GaveUp { .. })]), "{actions:?}");
-    let recalls = actions.iter().filter(|action| matches!(action, Action::Recall(..)));
-    assert_eq!(recalls.count(), 2);
+    let cancels = actions.iter().filter(|action| matches!(action, Action::Cancel(..)));
+    assert_eq!(cancels.count(), 2);
 }
 
 /// Between the last sign of life of an agent and the end of all leases nothing it was sent runs
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -335,9 +335,9 @@
             }
             self.mark_stale();
         }
-        for run in frame.recalls.iter().filter_map(run_of) {
-            log::info!("agent: event=recalled task={run} entry={entry}");
-            self.executor.on_recall(now, entry, &run);
+        for run in frame.cancels.iter().filter_map(run_of) {
+            log::info!("agent: event=cancelled task={run} entry={entry}");
+            self.executor.on_cancel(now, entry, &run);
             self.mark_stale();
         }
     }
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -142,9 +142,9 @@
                     let frame = frames.get_or_insert_with(agent, EntryFrame::default);
                     frame.orders.push(order_to(&order));
                 }
-                Action::Recall(agent, run) => {
+                Action::Cancel(agent, run) => {
                     let frame = frames.get_or_insert_with(agent, EntryFrame::default);
-                    frame.recalls.push(run_to(&run));
+                    frame.cancels.push(run_to(&run));
                 }
                 Action::Answer(id, answer) => self.answer(&id, answer),
                 Action::Record(decision) => self.record(&decision),
