Await or refuse transfers at a stopping entry, and reopen ranges in an outage

Cause: a stopping entry stored a transfer of ranges that reached it after its own handover, and left the member set before the record made it their owner; the next owner then surveyed agents whose earlier incarnations were gone. Separately, a rebalance that began as the store went down left the ranges with open jobs closed to new jobs until the store was back.

Change: the state of a handover and the received transfers are pure types in claims. A stopping entry refuses transfers, and waits for the records of those that it accepted before. Ranges that drain reopen while the log is too old for another round.

--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -13,6 +13,7 @@
 //! decisions.
 
 mod agents;
+mod handover;
 mod job;
 mod key;
 mod lease;
@@ -21,6 +22,7 @@
 mod takeover;
 
 pub use agents::{AgentRegistry, AnnouncedAgent, UsableAgents};
+pub use handover::{RangeHandover, ReceivedTransfers};
 pub use job::{FailureReason, Job, JobPhase, TaskOutcome, TaskState};
 pub use key::{KeyAgeLimits, KeyFreshness};
 pub use lease::{LeaseRound, Leases};
--- a/crates/daemon/src/entry/append.rs
+++ b/crates/daemon/src/entry/append.rs
@@ -11,7 +11,7 @@
 use crate::api_error::ApiError;
 
 /// Time in which an appended record must be read back from the log.
-const READ_BACK_TIMEOUT: Duration = Duration::from_secs(6);
+pub(crate) const READ_BACK_TIMEOUT: Duration = Duration::from_secs(6);
 /// Time to wait for a record to be read back before it is appended again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
--- a/crates/daemon/src/entry/handover.rs
+++ b/crates/daemon/src/entry/handover.rs
@@ -9,6 +9,7 @@
 use cowslipwing_proto::{RangeEpoch, RangeTakeover, RangeTransfer, Transfer, record::Body};
 use cowslipwing_types::{EntryId, RangeId, SortedMap};
 
+use super::append::READ_BACK_TIMEOUT;
 use super::log_follower::append_or_warn;
 use super::membership;
 use super::shared::{Shared, lock};
@@ -27,12 +28,30 @@
 
 /// Hands ranges over to their preferred owners until the entry stops.
 pub(crate) async fn run(shared: Arc<Shared>) {
+    tokio::join!(rebalance_at_intervals(&shared), reopen_in_outages(&shared));
+}
+
+/// Reopens ranges that wait for their open jobs to end while the log is too old to hand them over.
+async fn reopen_in_outages(shared: &Shared) {
+    loop {
+        tokio::time::sleep(REBALANCE_INTERVAL).await;
+        if shared.is_stopping() {
+            continue;
+        }
+        let log_age = shared.log_age();
+        for (range, _) in shared.owned_ranges() {
+            shared.shard(range).handover.cancel_if_log_stale(log_age, MAX_LOG_AGE);
+        }
+    }
+}
+
+async fn rebalance_at_intervals(shared: &Shared) {
     let mut candidates: SortedMap<RangeId, (EntryId, Instant)> = SortedMap::new();
     loop {
         tokio::time::sleep(REBALANCE_INTERVAL).await;
         let is_log_current = shared.log_age().is_some_and(|age| age < MAX_LOG_AGE);
         if !shared.is_stopping() && is_log_current {
-            rebalance(&shared, &mut candidates).await;
+            rebalance(shared, &mut candidates).await;
         }
     }
 }
@@ -42,7 +61,7 @@
 /// Without another live member, the entry keeps its ranges and stays a member.
 pub(crate) async fn leave(shared: &Shared) {
     let drain_started_at = shared.now();
-    while !shared.owned_ranges().is_empty() && has_successor(shared) {
+    while (!shared.owned_ranges().is_empty() || expects_ranges(shared)) && has_successor(shared) {
         let ranges: Vec<RangeId> = shared.owned_ranges().into_iter().map(|claim| claim.0).collect();
         hand_over_drained(shared, &ranges, drain_started_at).await;
         tokio::time::sleep(POLL_INTERVAL).await;
@@ -89,9 +108,7 @@
 ///
 /// Returns `false` if the transfer to the successor has already been built.
 fn cancel_handover(shared: &Shared, range: RangeId) -> bool {
-    let mut shard = shared.shard(range);
-    shard.draining &= shard.transfer_built;
-    !shard.transfer_built
+    shared.shard(range).handover.cancel()
 }
 
 /// Refuses new jobs in the ranges, and hands over those that have no open job, or all of them once
@@ -105,7 +122,7 @@
             continue;
         };
         let mut shard = shared.shard(*range);
-        shard.draining = true;
+        shard.handover.begin();
         let transfer = match transfer::build(shared, &mut shard, *range) {
             Some(transfer) => transfer,
             None if overdue => transfer::empty(&shard, *range),
@@ -150,6 +167,12 @@
         .or_else(|| others.find(|id| shared.is_live(id)).cloned())
 }
 
+/// Returns whether the record of a transfer that was accepted before the stop may still make this
+/// entry an owner.
+fn expects_ranges(shared: &Shared) -> bool {
+    lock(&shared.transfers).expects_records(shared.now(), READ_BACK_TIMEOUT)
+}
+
 /// Returns whether another member is live.
 fn has_successor(shared: &Shared) -> bool {
     let members = shared.members();
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -101,7 +101,7 @@
     let is_served = |key: &JobKey| {
         let job = JobId { customer: customer.clone(), key: key.clone() };
         let shard = shared.shard(job.range());
-        shard.is_serving() && !shard.draining
+        shard.is_serving() && shard.handover.accepts_jobs()
     };
     (0..MAX_KEY_ATTEMPTS).map(|_| generate()).find(is_served).unwrap_or_else(generate)
 }
--- a/crates/daemon/src/entry/jobs.rs
+++ b/crates/daemon/src/entry/jobs.rs
@@ -51,7 +51,7 @@
     if join_existing(&mut shard, checked, tx)? {
         return Ok(RequestOutcome::Pending(rx));
     }
-    if shard.draining {
+    if !shard.handover.accepts_jobs() {
         return Ok(RequestOutcome::NotServed);
     }
     let (tx, rx) = oneshot::channel();
--- a/crates/daemon/src/entry/shard.rs
+++ b/crates/daemon/src/entry/shard.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use cowslipwing_claims::{Job, Recovery};
+use cowslipwing_claims::{Job, RangeHandover, Recovery};
 use cowslipwing_policy::Requirements;
 use cowslipwing_proto::{JobAnswer, JobSubmission};
 use cowslipwing_types::{Epoch, JobId, SortedMap};
@@ -59,11 +59,8 @@
     /// Newest epoch of the range, 0 if it has had no owner yet.
     pub(crate) epoch: Epoch,
     pub(crate) serving: ServingState,
-    /// No new job is accepted, because the range is about to be handed over.
-    pub(crate) draining: bool,
-    /// The transfer to a successor has been built, so no job may be accepted even if this entry is
-    /// the preferred owner again.
-    pub(crate) transfer_built: bool,
+    /// Whether the range is being handed over to another entry.
+    pub(crate) handover: RangeHandover,
     pub(crate) open_jobs: SortedMap<JobId, OpenJob>,
     pub(crate) ended_jobs: SortedMap<JobId, EndedJob>,
 }
@@ -74,8 +71,7 @@
         Self {
             epoch: Epoch::default(),
             serving: ServingState::NotOwned,
-            draining: false,
-            transfer_built: false,
+            handover: RangeHandover::None,
             open_jobs: SortedMap::new(),
             ended_jobs: SortedMap::new(),
         }
@@ -95,8 +91,7 @@
             return Vec::new();
         }
         self.epoch = epoch;
-        self.draining = false;
-        self.transfer_built = false;
+        self.handover.on_ended();
         self.serving = if is_own { ServingState::TakingOver } else { ServingState::NotOwned };
         self.ended_jobs = SortedMap::new();
         std::mem::take(&mut self.open_jobs).into_values()
--- a/crates/daemon/src/entry/shared.rs
+++ b/crates/daemon/src/entry/shared.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::{Duration, Instant};
 
-use cowslipwing_claims::{AgentRegistry, LeaseVoter, Leases, UsableAgents};
+use cowslipwing_claims::{AgentRegistry, LeaseVoter, Leases, ReceivedTransfers, UsableAgents};
 use cowslipwing_fold::{ApplyOutcome, Fold, MemberSet};
 use cowslipwing_policy::{Dispatcher, QueuedJob, Requirements};
 use cowslipwing_proto::{self as proto, RangeTransfer, peer_client::PeerClient};
@@ -152,9 +152,7 @@
     /// This entry's parts of the customers' concurrency limits.
     pub(crate) quotas: Mutex<SortedMap<CustomerName, CustomerQuota>>,
     /// Transfers received from the owners of ranges that this entry is about to own.
-    pub(crate) transfers: Mutex<SortedMap<RangeId, RangeTransfer>>,
-    /// Serial number of the latest transfer that each sender has revoked.
-    pub(crate) revoked_transfers: Mutex<SortedMap<String, u64>>,
+    pub(crate) transfers: Mutex<ReceivedTransfers<RangeTransfer>>,
     /// Serial number of the latest transfer that this entry has sent.
     pub(crate) last_transfer_serial: AtomicU64,
     /// The jobs of each range, indexed by the range's number.
@@ -217,7 +215,6 @@
             hold_until: Mutex::default(),
             quotas: Mutex::default(),
             transfers: Mutex::default(),
-            revoked_transfers: Mutex::default(),
             last_transfer_serial: AtomicU64::new(0),
             shards: (0..RANGES).map(|_| Mutex::new(Shard::new())).collect(),
             open_jobs: AtomicU32::new(0),
--- a/crates/daemon/src/entry/transfer.rs
+++ b/crates/daemon/src/entry/transfer.rs
@@ -43,7 +43,7 @@
         ended: ended_jobs.collect(),
         ..empty(shard, range)
     };
-    shard.transfer_built = true;
+    shard.handover.on_transfer_built();
     Some(transfer)
 }
 
@@ -82,7 +82,7 @@
     for range in &transfer.ranges {
         let mut shard = shared.shard(RangeId::new(range.range));
         if shard.epoch.next().get() == range.epoch {
-            (shard.transfer_built, shard.draining) = (false, false);
+            shard.handover.on_ended();
         }
     }
 }
@@ -101,29 +101,28 @@
 
 /// Stores a transfer until this entry becomes the owner of its ranges, or discards a revoked one.
 ///
-/// Returns whether the transfer is stored, which it is not if it was revoked before it arrived. For
-/// a revocation, returns `false` if the log has already brought a range to the transfer's epoch.
+/// Returns whether the transfer is stored, which it is not if it was revoked before it arrived or
+/// if this entry is stopping. For a revocation, returns `false` if the log has already brought a range to the transfer's epoch.
 pub(crate) fn accept(shared: &Shared, transfer: Transfer) -> bool {
     let has_reached_epoch =
         |range: &RangeTransfer| shared.shard(RangeId::new(range.range)).epoch.get() >= range.epoch;
     let is_too_late = transfer.ranges.iter().any(has_reached_epoch);
-    let mut revoked = lock(&shared.revoked_transfers);
-    let last_revoked = revoked.get_or_insert_with(transfer.sender.clone(), || 0);
+    let Ok(sender) = transfer.sender.parse::<EntryId>() else {
+        return false;
+    };
     let mut transfers = lock(&shared.transfers);
     if transfer.taken_back {
-        *last_revoked = transfer.serial.max(*last_revoked);
-        for range in &transfer.ranges {
-            transfers.remove(&RangeId::new(range.range));
-        }
+        let ranges = transfer.ranges.iter().map(|range| RangeId::new(range.range));
+        transfers.revoke(&sender, transfer.serial, ranges);
         return !is_too_late;
     }
-    if transfer.serial <= *last_revoked {
-        return false;
-    }
-    for range in transfer.ranges {
-        transfers.insert(RangeId::new(range.range), range);
-    }
-    true
+    // Read under the lock, so that no transfer is stored after a stopping entry has seen none.
+    let is_stopping = shared.is_stopping();
+    let ranges = transfer
+        .ranges
+        .into_iter()
+        .map(|range| (RangeId::new(range.range), Epoch::new(range.epoch), range));
+    transfers.store(shared.now(), &sender, transfer.serial, is_stopping, ranges)
 }
 
 /// Starts to serve a range with the state that its former owner has transferred.
@@ -131,12 +130,9 @@
 /// Returns `false` if there is no transfer for this epoch, or if the range is no longer being taken
 /// over at this epoch.
 pub(crate) fn start_serving(shared: &Shared, range: RangeId, epoch: Epoch) -> bool {
-    let Some(transfer) = lock(&shared.transfers).remove(&range) else {
+    let Some(transfer) = lock(&shared.transfers).take(range, epoch) else {
         return false;
     };
-    if transfer.epoch != epoch.get() {
-        return false;
-    }
     let tasks = transfer.found.iter().filter_map(|found_task| {
         let agent: Incarnation = found_task.agent.parse().ok()?;
         recovered_task_from_proto(&agent, found_task.report.as_ref()?)
