--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -222,6 +222,11 @@
         matching.map(|(name, held)| held.run_of(name)).collect()
     }
 
+    /// Returns whether any task is held for an entry.
+    pub fn holds_tasks_of(&self, entry: &EntryId) -> bool {
+        self.held.values().any(|held| held.entry == *entry)
+    }
+
     /// Returns the number of tasks that were sent to the endpoint and may run there.
     pub fn started_count(&self) -> usize {
         self.held.values().filter(|held| held.phase != Phase::Queued).count()
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -117,6 +117,8 @@
     Completed,
     /// A task failed in as many runs as the contract allows.
     Failed,
+    /// A caller has cancelled the job. Some of its tasks may have run.
+    Cancelled,
     /// No task has started, and none will.
     Refused {
         /// Reason for the refusal.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 //! - An *incarnation* of an agent, an entry or an endpoint is its process from one start to the
 //!   next.
 
+mod attachment;
 mod executor;
 mod id;
 mod job;
@@ -28,6 +29,7 @@
 mod samples;
 mod scheduler;
 
+pub use attachment::{KnownEntry, MAX_ENTRIES_PER_AGENT, select_entries};
 pub use executor::{
     EndpointReport, Executor, ExecutorAction, ExecutorSettings, Listing, ReceivedOrder, RunOutcome,
     StartOutcome, StartRefusal, TaskEnd, TaskProgress,
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod decision;
+mod deferral;
 mod endpoint;
 mod message;
 mod migration;
@@ -18,6 +19,7 @@
 use crate::predictor::Predictor;
 
 use admission::AdmissionRefusal;
+use deferral::{DeferredJob, WarmUp};
 use endpoint::Endpoint;
 use selection::EndpointQuery;
 use task::{Job, Task, TaskState};
@@ -60,6 +62,9 @@
     settings: SchedulerSettings,
     endpoints: SortedMap<AgentId, Endpoint>,
     jobs: SortedMap<RequestId, Job>,
+    /// Jobs that wait for the first endpoints, oldest first.
+    deferred: Vec<DeferredJob>,
+    warm_up: WarmUp,
     predictor: Predictor,
     actions: Vec<Action>,
 }
@@ -71,6 +76,8 @@
             settings,
             endpoints: SortedMap::new(),
             jobs: SortedMap::new(),
+            deferred: Vec::new(),
+            warm_up: WarmUp::default(),
             predictor: Predictor::default(),
             actions: Vec::new(),
         }
@@ -83,7 +90,7 @@
 
     /// Returns the number of open jobs.
     pub fn open_jobs(&self) -> usize {
-        self.jobs.len()
+        self.jobs.len() + self.deferred.len()
     }
 
     /// Returns the number of open jobs in a queue of which no task is at an agent or may have
@@ -91,12 +98,13 @@
     pub fn unstarted_jobs(&self, queue: &str) -> usize {
         let is_unstarted_in_queue =
             |job: &&Job| job.spec.queue == queue && job.tasks.iter().all(Task::is_unstarted);
-        self.jobs.values().filter(is_unstarted_in_queue).count()
+        let deferred = self.deferred.iter().map(|deferred| &deferred.job);
+        self.jobs.values().chain(deferred).filter(is_unstarted_in_queue).count()
     }
 
     /// Returns whether a job is open.
     pub fn is_open(&self, id: &RequestId) -> bool {
-        self.jobs.contains(id)
+        self.jobs.contains(id) || self.is_deferred(id)
     }
 
     /// Returns the number of endpoints that accept tasks.
@@ -105,10 +113,12 @@
         self.endpoints.values().filter(|endpoint| endpoint.is_usable(now, suspect_after)).count()
     }
 
-    /// Submits a job, which is admitted or refused at once.
+    /// Submits a job, which is admitted or refused at once. Only while the entry's first endpoints
+    /// become known, a job may wait for one of them.
     pub fn submit(&mut self, now: Duration, spec: JobSpec) {
         let id = spec.id.clone();
-        if self.jobs.contains(&id) {
+        self.warm_up.on_event(now);
+        if self.is_open(&id) {
             let retry_after = self.settings.entry_lease;
             let reason = RefusalReason::Duplicate;
             self.actions.push(Action::Answer(id, Answer::Refused { reason, retry_after }));
@@ -116,15 +126,23 @@
         }
         let job = Job::new(now, spec, CALLER_NETWORK_DELAY);
         match self.admit(now, &job) {
-            Ok(()) => {
-                self.record_admitted(now, &job);
-                self.jobs.insert(id.clone(), job);
-                self.place_ready(now, &id);
+            Ok(()) => self.start(now, job),
+            Err(refusal) => {
+                if let Err((job, refusal)) = self.defer(now, job, refusal) {
+                    self.refuse(now, &job, refusal);
+                }
             }
-            Err(refusal) => self.refuse(now, &job, refusal),
         }
     }
 
+    /// Places the first tasks of an admitted job.
+    fn start(&mut self, now: Duration, job: Job) {
+        let id = job.spec.id.clone();
+        self.record_admitted(now, &job);
+        self.jobs.insert(id.clone(), job);
+        self.place_ready(now, &id);
+    }
+
     fn record_admitted(&mut self, now: Duration, job: &Job) {
         let decision = Decision::Admitted {
             id: job.spec.id.clone(),
@@ -284,10 +302,24 @@
         }
     }
 
-    /// Ends a job whose caller has disconnected; returns whether the job was open.
+    /// Cancels a job at the request of a caller, and answers those that wait for it. Returns
+    /// whether the job was open.
     pub fn cancel(&mut self, id: &RequestId) -> bool {
+        self.close(id, Some(Answer::Cancelled))
+    }
+
+    /// Ends a job whose callers have all disconnected; returns whether the job was open.
+    pub fn abandon(&mut self, id: &RequestId) -> bool {
+        self.close(id, None)
+    }
+
+    fn close(&mut self, id: &RequestId, answer: Option<Answer>) -> bool {
+        if self.remove_deferred(id) {
+            self.actions.extend(answer.map(|answer| Action::Answer(id.clone(), answer)));
+            return true;
+        }
         let was_open = self.jobs.contains(id);
-        self.end_job(id, None);
+        self.end_job(id, answer);
         was_open
     }
 
@@ -296,6 +328,7 @@
     /// Runs that were sent to the agent and that it does not hold were never received.
     pub fn on_attached(&mut self, now: Duration, agent: &AgentId, held: &[TaskRun]) {
         let settings = self.settings;
+        self.warm_up.on_attached(now);
         self.endpoints.get_or_insert_with(agent.clone(), || Endpoint::new(now)).on_attached(now);
         let unreceived = self.runs_sent_to(agent, |run| !held.contains(run));
         for run in unreceived {
@@ -305,6 +338,12 @@
         self.endpoints.retain(|_, endpoint| !endpoint.is_removable(now, settings.lease_bound()));
     }
 
+    /// Returns whether a run that was sent to an agent is not known to have ended.
+    pub fn has_runs_at(&self, agent: &AgentId) -> bool {
+        let mut tasks = self.jobs.values().flat_map(|job| &job.tasks);
+        tasks.any(|task| task.is_sent_to(agent))
+    }
+
     /// Returns the runs sent to an agent for which `predicate` holds.
     fn runs_sent_to<F>(&self, agent: &AgentId, predicate: F) -> Vec<TaskRun>
     where
@@ -312,10 +351,11 @@
     {
         let mut runs = Vec::new();
         for task in self.jobs.values().flat_map(|job| &job.tasks) {
-            let is_sent =
-                matches!(&task.state, TaskState::Sent { agent: sent_to, .. } if sent_to == agent);
+            if !task.is_sent_to(agent) {
+                continue;
+            }
             let run = TaskRun { task: task.name.clone(), number: task.last_run };
-            if is_sent && predicate(&run) {
+            if predicate(&run) {
                 runs.push(run);
             }
         }
@@ -358,6 +398,7 @@
         };
         endpoint.heard_at = now;
         endpoint.on_status(status);
+        self.retry_deferred(now);
         self.place_waiting(now);
     }
 
@@ -406,9 +447,7 @@
         let job = self.jobs.get(&name.request)?;
         let index = job.index_of(name)?;
         let task = &job.tasks[index];
-        let is_sent =
-            matches!(&task.state, TaskState::Sent { agent: sent_to, .. } if sent_to == agent);
-        (is_sent && task.last_run == run_number).then_some(index)
+        (task.is_sent_to(agent) && task.last_run == run_number).then_some(index)
     }
 
     fn on_done(&mut self, now: Duration, name: &TaskName, index: usize, run_time: Duration) {
@@ -448,6 +487,7 @@
     /// Handles the passage of time: gives up the runs of agents whose leases have expired, ends
     /// jobs whose callers have timed out, and places waiting tasks.
     pub fn on_tick(&mut self, now: Duration) {
+        self.warm_up.on_event(now);
         let lease_bound = self.settings.lease_bound();
         let has_expired = |endpoint: &Endpoint| endpoint.has_expired(now, lease_bound);
         let expired: Vec<AgentId> = self
@@ -477,6 +517,7 @@
         for id in ids {
             self.end_unserved(now, &id);
         }
+        self.retry_deferred(now);
         self.place_waiting(now);
     }
 }
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -13,7 +13,7 @@
 use cowslipwing_proto::{self as proto, AgentFrame, AgentHello, EntryFrame};
 use cowslipwing_settings::PlatformConfig;
 use cowslipwing_types::{Clock, SortedMap};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::endpoint_calls::EndpointCalls;
@@ -28,6 +28,12 @@
 /// Minimum interval between status updates without task events, for each open stream. Entries see
 /// the endpoint's free resources with a delay of up to this interval.
 const STATUS_INTERVAL_PER_STREAM: Duration = Duration::from_millis(8);
+/// Interval between heartbeats to an entry without tasks here. An order is accepted only under a
+/// lease, which a heartbeat renews. Entries suspect an agent after 400 ms of silence.
+const IDLE_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(160);
+/// Time for which a stream to an entry that is no longer selected stays open, so that orders sent
+/// before the entry learned of it arrive.
+const STREAM_RETIREMENT_DELAY: Duration = Duration::from_secs(1);
 /// Maximum number of task events kept for an entry without a stream.
 const MAX_UNSENT_EVENTS: usize = 1024;
 
@@ -58,6 +64,17 @@
         tx: mpsc::UnboundedSender<AgentFrame>,
         /// The entry's first frame.
         first: EntryFrame,
+        /// Closes the stream when notified.
+        close: Arc<Notify>,
+    },
+    /// The selection of entries has changed for an entry with a stream.
+    EntrySelected {
+        /// The entry.
+        entry: EntryId,
+        /// Sender that belongs to the stream.
+        tx: mpsc::UnboundedSender<AgentFrame>,
+        /// Whether the entry is selected now.
+        selected: bool,
     },
     /// A stream to an entry has ended.
     StreamClosed {
@@ -91,6 +108,11 @@
     sent_at: Duration,
     /// Whether the status has changed since it was last sent.
     status_changed: bool,
+    /// Time since which the entry is no longer selected. The stream takes no new orders and is
+    /// closed once no task of the entry is held.
+    retiring_since: Option<Duration>,
+    /// Closes the stream when notified.
+    close: Arc<Notify>,
 }
 
 /// Handles that the actor shares with the agent's other tasks.
@@ -203,8 +225,16 @@
                 self.executor.on_start_reply(now, &run, outcome);
             }
             Event::StopConfirmed(run) => self.executor.on_stop_confirmed(now, &run),
-            Event::StreamOpened { entry, address, tx, first } => {
-                self.on_stream_opened(now, entry, address, tx, first);
+            Event::StreamOpened { entry, address, tx, first, close } => {
+                self.on_stream_opened(now, entry, address, tx, first, close);
+            }
+            Event::EntrySelected { entry, tx, selected } => {
+                if let Some(stream) = self.streams.get_mut(&entry)
+                    && stream.tx.same_channel(&tx)
+                {
+                    stream.retiring_since = (!selected).then_some(now);
+                    stream.status_changed = true;
+                }
             }
             Event::StreamClosed { entry, tx } => self.on_stream_closed(&entry, &tx),
             Event::Frame { entry, tx, frame } => {
@@ -279,6 +309,7 @@
         address: SocketAddr,
         tx: mpsc::UnboundedSender<AgentFrame>,
         first: EntryFrame,
+        close: Arc<Notify>,
     ) {
         log::info!("agent: event=attached entry={entry} address={address}");
         self.remove_previous_incarnations(now, &entry, address);
@@ -303,6 +334,8 @@
             events: Vec::new(),
             sent_at: now,
             status_changed: false,
+            retiring_since: None,
+            close,
         };
         self.streams.insert(entry, stream);
     }
@@ -333,6 +366,10 @@
             return;
         };
         let events = std::mem::take(&mut stream.events);
+        if stream.retiring_since.is_some() && !self.executor.holds_tasks_of(entry) {
+            self.streams.remove(entry);
+            return;
+        }
         let (closed, _) = mpsc::unbounded_channel();
         stream.tx = closed;
         self.unsent_events.insert(entry.clone(), events);
@@ -439,20 +476,22 @@
         self.calls.list(self.endpoint_id(), lease_deadline_ms, self.executor.last_acked(), idle);
     }
 
-    /// Sends task events at once and status updates at intervals.
+    /// Sends task events at once, and status updates and heartbeats at intervals.
     fn send_frames(&mut self) {
         let now = self.clock.since_boot();
-        let stream_count = u32::try_from(self.streams.len()).unwrap_or(u32::MAX);
-        let heartbeat_interval = (HEARTBEAT_INTERVAL
-            + HEARTBEAT_INTERVAL_PER_STREAM * stream_count)
-            .min(ENTRY_LEASE / 2);
-        let status_interval = STATUS_INTERVAL_PER_STREAM * stream_count;
+        let open_streams = self.streams.values().filter(|stream| !stream.tx.is_closed()).count();
+        let intervals = FrameIntervals::new(open_streams);
         let mut status = None;
-        for (_, stream) in self.streams.iter_mut() {
+        for (entry, stream) in self.streams.iter_mut() {
             let age = now.saturating_sub(stream.sent_at);
+            let heartbeat_interval = if self.executor.holds_tasks_of(entry) {
+                intervals.busy_heartbeat
+            } else {
+                IDLE_HEARTBEAT_INTERVAL
+            };
             let is_due = !stream.events.is_empty()
                 || age >= heartbeat_interval
-                || (stream.status_changed && age >= status_interval);
+                || (stream.status_changed && age >= intervals.status);
             if !is_due || stream.tx.is_closed() {
                 continue;
             }
@@ -462,6 +501,7 @@
                 clock_ms: millis(now),
                 status: Some(proto::EndpointStatus {
                     orders_seen: stream.orders_seen,
+                    usable: status.usable && stream.retiring_since.is_none(),
                     ..status.clone()
                 }),
                 events: std::mem::take(&mut stream.events),
@@ -471,5 +511,37 @@
             stream.sent_at = now;
             stream.status_changed = false;
         }
+        self.close_retired_streams(now);
+    }
+
+    /// Closes the streams to entries that are no longer selected and have no task here.
+    fn close_retired_streams(&self, now: Duration) {
+        for (entry, stream) in self.streams.iter() {
+            let is_over =
+                stream.retiring_since.is_some_and(|since| now >= since + STREAM_RETIREMENT_DELAY);
+            if is_over && stream.events.is_empty() && !self.executor.holds_tasks_of(entry) {
+                stream.close.notify_one();
+            }
+        }
+    }
+}
+
+/// Intervals between the frames on each stream. They grow with the number of streams, so that an
+/// agent spends a bounded share of its processor time on them.
+struct FrameIntervals {
+    /// Minimum interval between status updates without task events.
+    status: Duration,
+    /// Interval between heartbeats on a stream whose entry has tasks here.
+    busy_heartbeat: Duration,
+}
+
+impl FrameIntervals {
+    fn new(stream_count: usize) -> Self {
+        let stream_count = u32::try_from(stream_count).unwrap_or(u32::MAX);
+        let busy_heartbeat = HEARTBEAT_INTERVAL + HEARTBEAT_INTERVAL_PER_STREAM * stream_count;
+        Self {
+            status: STATUS_INTERVAL_PER_STREAM * stream_count,
+            busy_heartbeat: busy_heartbeat.min(IDLE_HEARTBEAT_INTERVAL),
+        }
     }
 }
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -152,6 +152,7 @@
     match answer {
         Answer::Completed => "job_completed",
         Answer::Failed => "job_failed",
+        Answer::Cancelled => "job_cancelled",
         Answer::Refused { .. } => "job_refused",
         Answer::GaveUp { .. } => "job_given_up",
     }
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -25,6 +25,10 @@
 /// in a small deployment.
 const SUSPECT_AFTER: Duration = Duration::from_millis(400);
 
+/// Interval between heartbeats to an agent without tasks of this entry. Agents close a stream after
+/// 700 ms of silence, and take an order only if the last heartbeat renewed the lease of 600 ms.
+const IDLE_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
+
 /// The open stream to an agent.
 pub(super) struct AgentStream {
     pub(super) tx: mpsc::UnboundedSender<EntryFrame>,
@@ -120,8 +124,12 @@
         self.requests_in_flight.load(Ordering::Relaxed)
     }
 
-    /// Returns the interval between heartbeats on each stream.
-    pub(super) fn heartbeat_interval(&self) -> Duration {
+    /// Returns the time until the next heartbeat to an agent. It renews the lease of the tasks
+    /// there, so agents without tasks of this entry get fewer heartbeats.
+    pub(super) fn heartbeat_interval(&self, agent: &AgentId) -> Duration {
+        if !self.scheduler().has_runs_at(agent) {
+            return IDLE_HEARTBEAT_INTERVAL;
+        }
         let stream_count = u32::try_from(self.streams().len()).unwrap_or(u32::MAX);
         (HEARTBEAT_INTERVAL + HEARTBEAT_INTERVAL_PER_STREAM * stream_count).min(ENTRY_LEASE / 2)
     }
@@ -214,7 +222,7 @@
         drop(waiters);
         self.metrics.count("caller_left");
         log::info!("entry: event=caller-left job={id}");
-        self.with_scheduler(|scheduler, _| scheduler.cancel(id));
+        self.with_scheduler(|scheduler, _| scheduler.abandon(id));
     }
 
     /// Returns the routes of the configuration in force.
--- a/crates/node/src/entry/streams.rs
+++ b/crates/node/src/entry/streams.rs
@@ -102,7 +102,7 @@
     Some((agent, first))
 }
 
-/// Sends heartbeats, and the list of entries when it has changed.
+/// Sends heartbeats, with the list of entries when it has changed.
 async fn send_heartbeats(
     shared: Arc<Shared>,
     agent: AgentId,
@@ -111,13 +111,14 @@
 ) {
     let mut changes = shared.members.changes();
     loop {
-        let interval = shared.heartbeat_interval();
-        let members_changed = timeout(interval, changes.changed()).await.is_ok();
+        tokio::time::sleep(shared.heartbeat_interval(&agent)).await;
         let Some(heard_ms) = latest_heard_ms(&shared, &agent, stream_id) else {
             return;
         };
         let mut frame = EntryFrame { heard_ms, ..EntryFrame::default() };
-        if members_changed {
+        // Entries that start together join the list one by one; one frame announces several.
+        if changes.has_changed().unwrap_or(false) {
+            changes.mark_unchanged();
             frame.entries = shared.hello_frame().entries;
         }
         if tx.send(frame).is_err() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,7 +1,7 @@
 //! The entry and the agent as they run on the platform.
 //!
 //! An [`Entry`] accepts callers' requests and places their tasks. An [`Agent`] runs beside an
-//! endpoint and decides which tasks start there. Each agent opens a stream to each entry. State
+//! endpoint and decides which tasks start there. Each agent opens a stream to a few entries. State
 //! that must be shared or survive a restart is kept in the platform's metadata store. This crate
 //! does the input and output; the decisions are made by the scheduler and the executor of
 //! `cowslipwing_dispatch`.
