Take the first listing of an endpoint at once

Cause: an agent that has started, or whose endpoint has, learned of the endpoint's incarnation by a listing that waited 300 ms for the end of a run, as an idle one does. Until then the endpoint took no task. After a loss of all power, each endpoint of the deployment lost these 300 ms.

Change: the listing waits according to what is known of the endpoint; the first one does not wait.

--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -19,6 +19,7 @@
 use cowslipwing_types::SortedMap;
 
 use crate::id::{EntryId, TaskName, TaskRun};
+use crate::reply_tracker::EndpointActivity;
 use crate::samples::{Samples, SlownessEstimator};
 use crate::scheduler::{RunStatus, TaskEvent};
 
@@ -128,9 +129,15 @@
         self.last_acked
     }
 
-    /// Returns whether no task is held and no unknown run remains at the endpoint.
-    pub fn is_idle(&self) -> bool {
-        self.held.is_empty() && self.unknown_runs.is_empty()
+    /// Returns what is known of the runs at the endpoint.
+    pub fn activity(&self) -> EndpointActivity {
+        if self.last_listing_at.is_none() {
+            EndpointActivity::Unknown
+        } else if self.held.is_empty() && self.unknown_runs.is_empty() {
+            EndpointActivity::Idle
+        } else {
+            EndpointActivity::Busy
+        }
     }
 
     /// Returns a lower bound of the endpoint's clock, in milliseconds, or `None` if the clock is
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -40,7 +40,7 @@
     Candidate, EndpointStatus, Forecast, PlacementRequest, QueuedCpu, exceedance_probability,
 };
 pub use predictor::{Predictor, WorkEstimate};
-pub use reply_tracker::ReplyTracker;
+pub use reply_tracker::{EndpointActivity, ReplyTracker};
 pub use resources::{FreeResources, Resources};
 pub use route::{Route, RouteTable};
 pub use samples::{Samples, SlownessEstimator};
--- a/crates/dispatch/src/reply_tracker.rs
+++ b/crates/dispatch/src/reply_tracker.rs
@@ -21,19 +21,31 @@
 /// twice as often.
 const MIN_SILENCE: Duration = Duration::from_millis(80);
 
+/// What an agent knows of the runs at its endpoint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EndpointActivity {
+    /// No listing has arrived from the present incarnation. Tasks can start only after the first
+    /// one.
+    Unknown,
+    /// No task runs.
+    Idle,
+    /// Tasks run or are about to start.
+    Busy,
+}
+
 /// The record of answered and lost calls to one endpoint.
 ///
 /// # Examples
 ///
 /// ```
 /// use std::time::Duration;
-/// use cowslipwing_dispatch::ReplyTracker;
+/// use cowslipwing_dispatch::{EndpointActivity, ReplyTracker};
 ///
 /// let mut tracker = ReplyTracker::default();
 /// let now = Duration::from_secs(10);
-/// let normal_wait = tracker.listing_wait(now, false);
+/// let normal_wait = tracker.listing_wait(now, EndpointActivity::Busy);
 /// assert!(!tracker.record_call(now, false));
-/// assert!(tracker.listing_wait(now, false) < normal_wait);
+/// assert!(tracker.listing_wait(now, EndpointActivity::Busy) < normal_wait);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct ReplyTracker {
@@ -64,13 +76,14 @@
         should_close
     }
 
-    /// Returns how long a listing may wait for the end of a run. `idle` states that no task runs.
-    pub fn listing_wait(&self, now: Duration, idle: bool) -> Duration {
+    /// Returns how long a listing may wait for the end of a run.
+    pub fn listing_wait(&self, now: Duration, activity: EndpointActivity) -> Duration {
         let is_lossy = self.last_lost_at.is_some_and(|at| now < at + LOSSY_PERIOD);
-        match (idle, is_lossy) {
-            (true, _) => IDLE_LISTING_WAIT,
-            (false, true) => LOSSY_LISTING_WAIT,
-            (false, false) => BUSY_LISTING_WAIT,
+        match activity {
+            EndpointActivity::Unknown => Duration::ZERO,
+            EndpointActivity::Idle => IDLE_LISTING_WAIT,
+            EndpointActivity::Busy if is_lossy => LOSSY_LISTING_WAIT,
+            EndpointActivity::Busy => BUSY_LISTING_WAIT,
         }
     }
 }
--- a/crates/dispatch/tests/testsuite/executor.rs
+++ b/crates/dispatch/tests/testsuite/executor.rs
@@ -17,6 +17,12 @@
 
 const START: Duration = Duration::from_secs(10);
 
+const SETTINGS: ExecutorSettings = ExecutorSettings {
+    entry_lease: Duration::from_millis(600),
+    endpoint_lease: Duration::from_millis(500),
+    longest_lease: Duration::from_millis(1000),
+};
+
 fn entry() -> EntryId {
     "front-1@1".parse().unwrap()
 }
@@ -59,9 +65,7 @@
 
 /// Returns an executor with an empty endpoint and one entry whose lease is valid.
 fn executor() -> Executor {
-    let settings =
-        ExecutorSettings { entry_lease: ms(600), endpoint_lease: ms(500), longest_lease: ms(1000) };
-    let mut executor = Executor::new(settings);
+    let mut executor = Executor::new(SETTINGS);
     executor.on_report(START, report(1));
     executor.on_listing(START, &listing(START));
     executor.on_entry_heartbeat(&entry(), START);
--- a/crates/dispatch/tests/testsuite/executor/incarnations.rs
+++ b/crates/dispatch/tests/testsuite/executor/incarnations.rs
@@ -1,10 +1,11 @@
 //! Tests of restarts of agents and endpoints.
 
 use cowslipwing_dispatch::{
-    EndpointReport, ExecutorAction, Listing, Resources, RunStatus, StartOutcome, TaskProgress,
+    EndpointActivity, EndpointReport, Executor, ExecutorAction, Listing, Resources, RunStatus,
+    StartOutcome, TaskProgress,
 };
 
-use super::{START, executor, listing, order, report, reported, run, starts};
+use super::{SETTINGS, START, executor, listing, order, report, reported, run, starts};
 use crate::support::ms;
 
 #[test]
@@ -127,3 +128,16 @@
     executor.on_order(at, order(0, 1000, ms(500)));
     assert_eq!(starts(&executor.take_actions()), [run(0)]);
 }
+
+/// An agent learns of its endpoint's incarnation by the first listing, which must not wait for the
+/// end of a run.
+#[test]
+fn the_activity_is_unknown_until_an_incarnation_is_listed() {
+    let mut executor = Executor::new(SETTINGS);
+    executor.on_report(START, report(1));
+    assert_eq!(executor.activity(), EndpointActivity::Unknown);
+    executor.on_listing(START, &listing(START));
+    assert_eq!(executor.activity(), EndpointActivity::Idle);
+    executor.on_report(START, EndpointReport { incarnation: 8, ..report(1) });
+    assert_eq!(executor.activity(), EndpointActivity::Unknown);
+}
--- a/crates/dispatch/tests/testsuite/reply_tracker.rs
+++ b/crates/dispatch/tests/testsuite/reply_tracker.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cowslipwing_dispatch::ReplyTracker;
+use cowslipwing_dispatch::{EndpointActivity, ReplyTracker};
 
 use crate::support::ms;
 
@@ -49,12 +49,20 @@
 fn listings_wait_less_while_answers_are_lost() {
     let mut tracker = ReplyTracker::default();
     tracker.record_call(START, true);
-    let normal_wait = tracker.listing_wait(START, false);
+    let normal_wait = tracker.listing_wait(START, EndpointActivity::Busy);
     tracker.record_call(START + ms(100), false);
-    let lossy_wait = tracker.listing_wait(START + ms(101), false);
+    let lossy_wait = tracker.listing_wait(START + ms(101), EndpointActivity::Busy);
     assert!(lossy_wait * 2 < normal_wait, "{lossy_wait:?} of {normal_wait:?}");
     tracker.record_call(START + ms(110), true);
-    assert_eq!(tracker.listing_wait(START + ms(120), false), lossy_wait);
-    assert_eq!(tracker.listing_wait(START + ms(700), false), normal_wait);
-    assert!(tracker.listing_wait(START + ms(120), true) > normal_wait);
+    assert_eq!(tracker.listing_wait(START + ms(120), EndpointActivity::Busy), lossy_wait);
+    assert_eq!(tracker.listing_wait(START + ms(700), EndpointActivity::Busy), normal_wait);
+    assert!(tracker.listing_wait(START + ms(120), EndpointActivity::Idle) > normal_wait);
+}
+
+/// The first listing of an agent that has started waited 300 ms, in which its endpoint took no task.
+/// After a loss of all power, every agent of the deployment did so.
+#[test]
+fn the_first_listing_does_not_wait() {
+    let tracker = ReplyTracker::default();
+    assert_eq!(tracker.listing_wait(START, EndpointActivity::Unknown), Duration::ZERO);
 }
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -6,8 +6,8 @@
 
 use compact_str::CompactString;
 use cowslipwing_dispatch::{
-    AgentId, EndpointReport, EntryId, Executor, ExecutorAction, ExecutorSettings, Listing,
-    ReceivedOrder, RunStatus, StartOutcome, TaskEvent, TaskRun,
+    AgentId, EndpointActivity, EndpointReport, EntryId, Executor, ExecutorAction, ExecutorSettings,
+    Listing, ReceivedOrder, RunStatus, StartOutcome, TaskEvent, TaskRun,
 };
 use cowslipwing_platform::EndpointError;
 use cowslipwing_proto::{self as proto, AgentFrame, AgentHello, EntryFrame};
@@ -471,9 +471,13 @@
         }
         self.listing_in_flight = true;
         let now = self.clock.since_boot();
-        let idle = self.executor.is_idle();
-        let lease_deadline_ms = if idle { None } else { self.executor.extend_lease(now) };
-        self.calls.list(self.endpoint_id(), lease_deadline_ms, self.executor.last_acked(), idle);
+        let activity = self.executor.activity();
+        let lease_deadline_ms = match activity {
+            EndpointActivity::Idle => None,
+            _ => self.executor.extend_lease(now),
+        };
+        let last_acked = self.executor.last_acked();
+        self.calls.list(self.endpoint_id(), lease_deadline_ms, last_acked, activity);
     }
 
     /// Sends task events at once, and status updates and heartbeats at intervals.
--- a/crates/node/src/agent/endpoint_calls.rs
+++ b/crates/node/src/agent/endpoint_calls.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use cowslipwing_dispatch::{ReplyTracker, StartOutcome, StartRefusal, TaskRun};
+use cowslipwing_dispatch::{EndpointActivity, ReplyTracker, StartOutcome, StartRefusal, TaskRun};
 use cowslipwing_platform::{EndpointClient, EndpointError, ListRequest};
 use cowslipwing_types::Clock;
 use tokio::sync::mpsc;
@@ -141,13 +141,13 @@
         endpoint_id: String,
         lease_deadline_ms: Option<u64>,
         last_acked: u64,
-        idle: bool,
+        activity: EndpointActivity,
     ) {
         let calls = self.clone();
         tokio::spawn(async move {
             let requested_at = calls.clock.since_boot();
             let token = calls.fencing_token.get();
-            let wait = calls.reply_tracker().listing_wait(requested_at, idle);
+            let wait = calls.reply_tracker().listing_wait(requested_at, activity);
             let timeout = wait + LIST_TIMEOUT_MARGIN;
             let request = ListRequest { lease_deadline_ms, last_acked, wait, requested_at };
             let result = calls.client.list(&endpoint_id, token, request, timeout).await;
