Refuse zero counts, unknown log levels and shared listen addresses in settings

Cause: a count of 0 was read as absent and replaced by the default; an unknown level failed only at the start; two listeners with one address failed only when the second was bound.

Change: each is refused with key, value and remedy.

--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -57,10 +57,13 @@
 fn validate_entry(raw: proto::EntrySettings) -> SettingsResult<EntryConfig> {
     let name: EndpointName =
         parse_required("entry.name", &raw.name, "a name that no other entry has")?;
+    let http = parse_address("entry.http", &raw.http)?;
+    let rpc = parse_address("entry.rpc", &raw.rpc)?;
+    reject_shared_address(&[("entry.http", http), ("entry.rpc", rpc)])?;
     Ok(EntryConfig {
         name: name.to_string(),
-        http: parse_address("entry.http", &raw.http)?,
-        rpc: parse_address("entry.rpc", &raw.rpc)?,
+        http,
+        rpc,
         log: parse_address("entry.log", &raw.log)?,
         contact: parse_optional_address("entry.contact", &raw.contact)?,
         advertise: parse_optional_address("entry.advertise", &raw.advertise)?,
@@ -88,20 +91,43 @@
 fn validate_platform_entry(raw: &proto::PlatformSettings) -> SettingsResult<PlatformEntryConfig> {
     let common = validate_platform(raw)?;
     let advertise = parse_optional_address("platform.advertise", &raw.advertise)?;
-    Ok(PlatformEntryConfig {
-        advertise: advertise.unwrap_or(SocketAddr::new(common.ip, common.peer_port)),
-        common,
-        callers: parse_address("platform.callers", &raw.callers)?,
-        ready: parse_address("platform.ready", &raw.ready)?,
-    })
+    let callers = parse_address("platform.callers", &raw.callers)?;
+    let ready = parse_address("platform.ready", &raw.ready)?;
+    let peers = SocketAddr::new(common.ip, common.peer_port);
+    let mut listeners = vec![
+        ("platform.callers", callers),
+        ("platform.ready", ready),
+        ("platform.peer_port", peers),
+    ];
+    listeners.extend(metrics_listener(&common));
+    reject_shared_address(&listeners)?;
+    Ok(PlatformEntryConfig { advertise: advertise.unwrap_or(peers), common, callers, ready })
 }
 
 fn validate_platform_agent(raw: &proto::PlatformSettings) -> SettingsResult<PlatformAgentConfig> {
-    Ok(PlatformAgentConfig {
-        common: validate_platform(raw)?,
-        announcements: parse_address("platform.announcements", &raw.announcements)?,
-        endpoint: parse_address("platform.endpoint", &raw.endpoint)?,
-    })
+    let common = validate_platform(raw)?;
+    let announcements = parse_address("platform.announcements", &raw.announcements)?;
+    let mut listeners = vec![("platform.announcements", announcements)];
+    listeners.extend(metrics_listener(&common));
+    reject_shared_address(&listeners)?;
+    let endpoint = parse_address("platform.endpoint", &raw.endpoint)?;
+    Ok(PlatformAgentConfig { common, announcements, endpoint })
+}
+
+fn metrics_listener(common: &PlatformConfig) -> Option<(&'static str, SocketAddr)> {
+    let port = common.metrics_port?;
+    Some(("platform.metrics_port", SocketAddr::new(common.ip, port)))
+}
+
+/// Rejects two listeners with the same address. Port 0 stands for any free port.
+fn reject_shared_address(listeners: &[(&'static str, SocketAddr)]) -> SettingsResult<()> {
+    for (index, (key, address)) in listeners.iter().enumerate() {
+        let earlier = listeners[..index].iter().find(|(_, other)| other == address);
+        if let Some((other, _)) = earlier.filter(|_| address.port() != 0) {
+            return invalid_value(key, address, format!("{other} has it too; use another port"));
+        }
+    }
+    Ok(())
 }
 
 fn validate_platform(raw: &proto::PlatformSettings) -> SettingsResult<PlatformConfig> {
@@ -182,9 +208,28 @@
         },
     };
     let log = if raw.log.is_empty() { "info".to_owned() } else { raw.log };
+    validate_log_levels(&log)?;
     Ok(Telemetry { traces: parse_traces(&raw.traces)?, metrics, log })
 }
 
+/// Validates a list of levels, separated by commas, each for all targets or as `TARGET=LEVEL`.
+fn validate_log_levels(text: &str) -> SettingsResult<()> {
+    const LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+    const TARGET_PREFIX: &str = "cowslipwing";
+    for part in text.split(',').map(str::trim) {
+        let (target, level) = part.split_once('=').unwrap_or((TARGET_PREFIX, part));
+        if !LEVELS.contains(&level.trim().to_ascii_lowercase().as_str()) {
+            let remedy = format!("give one of the levels {}", LEVELS.join(", "));
+            return invalid_value("telemetry.log", text, remedy);
+        }
+        if !target.trim().starts_with(TARGET_PREFIX) {
+            let remedy = "name a crate of this project, such as cowslipwing_node=debug";
+            return invalid_value("telemetry.log", text, remedy);
+        }
+    }
+    Ok(())
+}
+
 fn parse_traces(text: &str) -> SettingsResult<Traces> {
     match text {
         "off" => return Ok(Traces::Off),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,6 +1,7 @@
 //! Settings of the daemon, parsed from YAML and validated.
 
 mod check;
+mod counts;
 mod error;
 mod model;
 
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -10,6 +10,7 @@
 use cowslipwing_types::{ByteSize, EndpointName, Site};
 use snafu::ResultExt;
 
+use crate::counts::reject_zero_counts;
 use crate::error::{MalformedSnafu, SettingsError, UnreadableSnafu};
 
 /// The settings of one daemon process.
@@ -215,6 +216,7 @@
     /// ```
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
         let raw: proto::Settings = serde_yaml_ng::from_str(text).context(MalformedSnafu)?;
+        reject_zero_counts(text)?;
         Self::try_from(raw)
     }
 }
