--- a/crates/dispatch/tests/testsuite/executor/incarnations.rs
+++ b/crates/dispatch/tests/testsuite/executor/incarnations.rs
@@ -141,3 +141,16 @@
     executor.on_report(START, EndpointReport { incarnation: 8, ..report(1) });
     assert_eq!(executor.activity(), EndpointActivity::Unknown);
 }
+
+/// A restarted agent loads the report that its predecessor saved. The endpoint may have left since,
+/// and another may run at its address.
+#[test]
+fn a_remembered_endpoint_that_has_left_gets_no_task() {
+    let mut executor = Executor::new(SETTINGS);
+    executor.on_report(START, report(1));
+    executor.on_entry_heartbeat(&super::entry(), START);
+    executor.on_listing(START, &Listing { incarnation: 8, ..listing(START) });
+    executor.on_order(START, order(0, 1000, ms(500)));
+    assert!(!executor.status(START).usable);
+    assert!(starts(&executor.take_actions()).is_empty());
+}
