--- /dev/null
+++ b/crates/dispatch/src/scheduler/agents.rs
@@ -0,0 +1,90 @@
+//! Handles the connections to agents and what they mean for the runs sent there.
+
+use std::time::Duration;
+
+use crate::id::{AgentId, TaskRun};
+use crate::placement::EndpointStatus;
+
+use super::endpoint::Endpoint;
+use super::{RunStatus, Scheduler, TaskEvent};
+
+impl Scheduler {
+    /// Handles an agent that has connected and holds the runs `held` of this entry.
+    ///
+    /// Runs that were sent to the agent and that it does not hold were never received.
+    pub fn on_attached(&mut self, now: Duration, agent: &AgentId, held: &[TaskRun]) {
+        let settings = self.settings;
+        self.warm_up.on_attached(now);
+        self.endpoints.get_or_insert_with(agent.clone(), || Endpoint::new(now)).on_attached(now);
+        let unreceived = self.runs_sent_to(agent, |run| !held.contains(run));
+        for run in unreceived {
+            self.on_task_event(now, agent, &TaskEvent { run, status: RunStatus::Stopped });
+        }
+        // Agents that have been disconnected for this long do not come back.
+        self.endpoints.retain(|_, endpoint| !endpoint.is_removable(now, settings.lease_bound()));
+    }
+
+    /// Returns whether a run that was sent to an agent is not known to have ended.
+    pub fn has_runs_at(&self, agent: &AgentId) -> bool {
+        let mut tasks = self.jobs.values().flat_map(|job| &job.tasks);
+        tasks.any(|task| task.is_sent_to(agent))
+    }
+
+    /// Returns the runs sent to an agent for which `predicate` holds.
+    pub(super) fn runs_sent_to<F>(&self, agent: &AgentId, predicate: F) -> Vec<TaskRun>
+    where
+        F: Fn(&TaskRun) -> bool,
+    {
+        let mut runs = Vec::new();
+        for task in self.jobs.values().flat_map(|job| &job.tasks) {
+            if !task.is_sent_to(agent) {
+                continue;
+            }
+            let run = TaskRun { task: task.name.clone(), number: task.last_run };
+            if predicate(&run) {
+                runs.push(run);
+            }
+        }
+        runs
+    }
+
+    /// Handles the end of an agent's stream.
+    pub fn on_detached(&mut self, now: Duration, agent: &AgentId) {
+        if let Some(endpoint) = self.endpoints.get_mut(agent) {
+            endpoint.on_detached(now);
+        }
+    }
+
+    /// Handles the replacement of `agent` by another incarnation, which has stopped the runs of
+    /// `agent`.
+    pub fn on_replaced(&mut self, now: Duration, agent: &AgentId) {
+        for run in self.runs_sent_to(agent, |_| true) {
+            self.on_task_event(now, agent, &TaskEvent { run, status: RunStatus::Stopped });
+        }
+        self.endpoints.remove(agent);
+    }
+
+    /// Returns the known incarnations of an agent's VM other than `agent`.
+    pub fn previous_incarnations(&self, agent: &AgentId) -> Vec<AgentId> {
+        let is_previous = |other: &&AgentId| *other != agent && other.vm_name() == agent.vm_name();
+        self.endpoints.keys().filter(is_previous).cloned().collect()
+    }
+
+    /// Records contact with an agent.
+    pub fn on_heartbeat(&mut self, now: Duration, agent: &AgentId) {
+        if let Some(endpoint) = self.endpoints.get_mut(agent) {
+            endpoint.heard_at = now;
+        }
+    }
+
+    /// Records the status of an agent's endpoint.
+    pub fn on_status(&mut self, now: Duration, agent: &AgentId, status: EndpointStatus) {
+        let Some(endpoint) = self.endpoints.get_mut(agent) else {
+            return;
+        };
+        endpoint.heard_at = now;
+        endpoint.on_status(status);
+        self.retry_deferred(now);
+        self.place_waiting(now);
+    }
+}
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -1,5 +1,7 @@
 //! The agent's event loop, which passes events to the executor and executes the resulting actions.
 
+mod frames;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,19 +23,10 @@
 use crate::members::{Members, parse_addresses};
 use crate::metrics::Metrics;
 use crate::wire_ids::{run_from_proto, run_to_proto};
-use crate::{ENDPOINT_LEASE, ENTRY_LEASE, HEARTBEAT_INTERVAL, HEARTBEAT_INTERVAL_PER_STREAM};
+use crate::{ENDPOINT_LEASE, ENTRY_LEASE};
 
 /// Interval at which queued tasks and leases are checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
-/// Minimum interval between status updates without task events, for each open stream. Entries see
-/// the endpoint's free resources with a delay of up to this interval.
-const STATUS_INTERVAL_PER_STREAM: Duration = Duration::from_millis(8);
-/// Interval between heartbeats to an entry without tasks here. An order is accepted only under a
-/// lease, which a heartbeat renews. Entries suspect an agent after 400 ms of silence.
-const IDLE_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(160);
-/// Time for which a stream to an entry that is no longer selected stays open, so that orders sent
-/// before the entry learned of it arrive.
-const STREAM_RETIREMENT_DELAY: Duration = Duration::from_secs(1);
 /// Maximum number of task events kept for an entry without a stream.
 const MAX_UNSENT_EVENTS: usize = 1024;
 
@@ -479,73 +472,4 @@
         let last_acked = self.executor.last_acked();
         self.calls.list(self.endpoint_id(), lease_deadline_ms, last_acked, activity);
     }
-
-    /// Sends task events at once, and status updates and heartbeats at intervals.
-    fn send_frames(&mut self) {
-        let now = self.clock.since_boot();
-        let open_streams = self.streams.values().filter(|stream| !stream.tx.is_closed()).count();
-        let intervals = FrameIntervals::new(open_streams);
-        let mut status = None;
-        for (entry, stream) in self.streams.iter_mut() {
-            let age = now.saturating_sub(stream.sent_at);
-            let heartbeat_interval = if self.executor.holds_tasks_of(entry) {
-                intervals.busy_heartbeat
-            } else {
-                IDLE_HEARTBEAT_INTERVAL
-            };
-            let is_due = !stream.events.is_empty()
-                || age >= heartbeat_interval
-                || (stream.status_changed && age >= intervals.status);
-            if !is_due || stream.tx.is_closed() {
-                continue;
-            }
-            let status = status.get_or_insert_with(|| status_to_proto(&self.executor.status(now)));
-            let frame = AgentFrame {
-                hello: None,
-                clock_ms: millis(now),
-                status: Some(proto::EndpointStatus {
-                    orders_seen: stream.orders_seen,
-                    usable: status.usable && stream.retiring_since.is_none(),
-                    ..status.clone()
-                }),
-                events: std::mem::take(&mut stream.events),
-            };
-            // If the stream has already ended, a `StreamClosed` event follows.
-            let _ = stream.tx.send(frame);
-            stream.sent_at = now;
-            stream.status_changed = false;
-        }
-        self.close_retired_streams(now);
-    }
-
-    /// Closes the streams to entries that are no longer selected and have no task here.
-    fn close_retired_streams(&self, now: Duration) {
-        for (entry, stream) in self.streams.iter() {
-            let is_over =
-                stream.retiring_since.is_some_and(|since| now >= since + STREAM_RETIREMENT_DELAY);
-            if is_over && stream.events.is_empty() && !self.executor.holds_tasks_of(entry) {
-                stream.close.notify_one();
-            }
-        }
-    }
-}
-
-/// Intervals between the frames on each stream. They grow with the number of streams, so that an
-/// agent spends a bounded share of its processor time on them.
-struct FrameIntervals {
-    /// Minimum interval between status updates without task events.
-    status: Duration,
-    /// Interval between heartbeats on a stream whose entry has tasks here.
-    busy_heartbeat: Duration,
-}
-
-impl FrameIntervals {
-    fn new(stream_count: usize) -> Self {
-        let stream_count = u32::try_from(stream_count).unwrap_or(u32::MAX);
-        let busy_heartbeat = HEARTBEAT_INTERVAL + HEARTBEAT_INTERVAL_PER_STREAM * stream_count;
-        Self {
-            status: STATUS_INTERVAL_PER_STREAM * stream_count,
-            busy_heartbeat: busy_heartbeat.min(IDLE_HEARTBEAT_INTERVAL),
-        }
-    }
 }
