--- a/crates/dispatch/src/attachment.rs
+++ b/crates/dispatch/src/attachment.rs
@@ -13,8 +13,7 @@
 /// Maximum number of entries that an agent keeps streams to.
 ///
 /// An entry gets this many times the ratio of agents to entries: about 35 endpoints of the 240 in a
-/// deployment with 55 entries, enough for several times its mean load. A smaller number leaves an
-/// entry of a small deployment with too few endpoints for a burst of its own callers.
+/// deployment with 55 entries. These must have room for the bursts of the entry's own callers.
 pub const MAX_ENTRIES_PER_AGENT: usize = 8;
 
 /// An entry that an agent knows.
