Tell in logs and metrics whether a run was stopped or lost in a crash

Cause: a run that ended because its endpoint crashed was reported as Stopped, like a run that the system itself had stopped, and a start that met no listener was logged like one that an endpoint turned away.

No decision depends on them yet.

Two tests on restarted endpoints expect the more exact status now.

--- a/crates/dispatch/src/executor/held_task.rs
+++ b/crates/dispatch/src/executor/held_task.rs
@@ -5,7 +5,7 @@
 
 use crate::id::{EntryId, TaskName, TaskRun};
 use crate::resources::Resources;
-use crate::scheduler::TaskOrder;
+use crate::scheduler::{RunStatus, TaskOrder};
 
 /// Lower bound of the remaining run time of a started task.
 const MIN_REMAINING: Duration = Duration::from_millis(5);
@@ -69,6 +69,8 @@
     pub(super) deadline_ms: u64,
     pub(super) stop_sent_at: Option<Duration>,
     pub(super) stop_confirmed_at: Option<Duration>,
+    /// Whether the endpoint has crashed since the start was sent.
+    pub(super) endpoint_crashed: bool,
     progress_percent: u32,
     /// Time and progress in percent of the latest progress sample.
     last_sample: Option<(Duration, u32)>,
@@ -99,6 +101,7 @@
             deadline_ms: 0,
             stop_sent_at: None,
             stop_confirmed_at: None,
+            endpoint_crashed: false,
             progress_percent: 0,
             last_sample: None,
             projected_secs: None,
@@ -111,6 +114,11 @@
         TaskRun { task: name.clone(), number: self.run_number }
     }
 
+    /// Returns the status of the run after its loss with the endpoint or its lease.
+    pub(super) fn lost_status(&self) -> RunStatus {
+        if self.endpoint_crashed { RunStatus::Crashed } else { RunStatus::Stopped }
+    }
+
     /// Returns whether it is too late to start the task here.
     pub(super) fn is_overdue(&self, now: Duration) -> bool {
         now >= self.abandon_at || (!self.objective_missed && now > self.latest_start)
--- a/crates/dispatch/src/executor/incarnation.rs
+++ b/crates/dispatch/src/executor/incarnation.rs
@@ -4,8 +4,8 @@
 
 use cowslipwing_types::SortedMap;
 
+use crate::id::TaskName;
 use crate::samples::{Samples, SlownessEstimator};
-use crate::scheduler::RunStatus;
 
 use super::held_task::{HeldTask, Phase};
 use super::start::MAX_START_SENDS;
@@ -60,6 +60,8 @@
     /// The next listing shows which runs are gone. A start in flight may still reach the new
     /// incarnation, so it is cancelled like any other unanswered start.
     pub(super) fn on_new_incarnation(&mut self) {
+        // An endpoint that leaves says so before it ends.
+        let has_crashed = self.endpoint.as_ref().is_some_and(|endpoint| !endpoint.draining);
         self.listed_incarnation = None;
         self.last_listing_at = None;
         self.clock = None;
@@ -74,6 +76,7 @@
             // The start must not be sent again to the new incarnation.
             held.sends = MAX_START_SENDS;
             held.stop_confirmed_at = None;
+            held.endpoint_crashed |= has_crashed;
         }
     }
 
@@ -93,11 +96,18 @@
         true
     }
 
-    /// Removes all started tasks and reports them to their entries as stopped.
+    /// Removes all started tasks and reports them to their entries as lost.
     pub(super) fn give_up_started(&mut self) {
         let is_started = |held: &HeldTask| held.phase != Phase::Queued;
         for name in self.tasks_where(is_started) {
-            self.remove_and_report(&name, RunStatus::Stopped);
+            self.remove_lost(&name);
+        }
+    }
+
+    /// Removes a task whose run was lost with the endpoint or its lease, and reports it.
+    pub(super) fn remove_lost(&mut self, name: &TaskName) {
+        if let Some(status) = self.held.get(name).map(HeldTask::lost_status) {
+            self.remove_and_report(name, status);
         }
     }
 }
--- a/crates/dispatch/src/executor/listing.rs
+++ b/crates/dispatch/src/executor/listing.rs
@@ -121,7 +121,7 @@
             && listing.requested_at > held.started_at
             && held.phase == Phase::Starting;
         if is_missing {
-            self.remove_and_report(name, RunStatus::Stopped);
+            self.remove_lost(name);
         } else if held.phase == Phase::Starting && (is_stopped || is_expired) {
             self.remove_and_report(name, RunStatus::NotStarted);
         }
--- a/crates/dispatch/src/executor/report.rs
+++ b/crates/dispatch/src/executor/report.rs
@@ -86,8 +86,10 @@
     TooLate,
     /// The endpoint has too few free resources.
     NoRoom,
-    /// The endpoint cannot be reached, or answered that it cannot serve the call.
+    /// The endpoint cannot be reached in time, or answered that it cannot serve the call.
     Unhealthy,
+    /// Nothing listens at the endpoint's address.
+    NotListening,
     /// Another incarnation answers at the address.
     OtherIncarnation,
     /// The endpoint rejected the call as invalid, or answered with an unknown reason or status.
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -350,7 +350,10 @@
         match event.status {
             RunStatus::Done(run_time) => self.on_done(now, name, index, run_time),
             RunStatus::Failed => self.on_failed(now, name, index, agent),
-            RunStatus::NotStarted | RunStatus::StaleRun | RunStatus::Stopped => {
+            RunStatus::NotStarted
+            | RunStatus::StaleRun
+            | RunStatus::Stopped
+            | RunStatus::Crashed => {
                 if let Some(job) = self.jobs.get_mut(&name.request) {
                     job.tasks[index].on_returned(event.status, agent, STALE_RUN_INCREMENT);
                 }
--- a/crates/dispatch/src/scheduler/message.rs
+++ b/crates/dispatch/src/scheduler/message.rs
@@ -20,8 +20,10 @@
     Done(Duration),
     /// The task ran and failed.
     Failed,
-    /// The run was stopped or lost.
+    /// The run was stopped or lost, but its endpoint is not known to have crashed.
     Stopped,
+    /// The run was lost because its endpoint crashed.
+    Crashed,
     /// The run is far slower than is usual at its endpoint, and needs about this much more time.
     Slow(Duration),
     /// The task is more work than expected and cannot end in time, since it needs about this much
--- a/crates/dispatch/tests/testsuite/executor/incarnations.rs
+++ b/crates/dispatch/tests/testsuite/executor/incarnations.rs
@@ -30,7 +30,7 @@
     executor.on_start_reply(START, &run(0), StartOutcome::Started);
     let at = START + ms(50);
     executor.on_listing(at, &Listing { incarnation: 8, ..listing(at) });
-    assert_eq!(reported(&executor.take_actions()), [(run(0), RunStatus::Stopped)]);
+    assert_eq!(reported(&executor.take_actions()), [(run(0), RunStatus::Crashed)]);
     // A late listing of the previous incarnation has no effect.
     let running = vec![TaskProgress { run: run(0), percent: 50 }];
     executor.on_listing(at, &Listing { running, ..listing(START) });
@@ -39,6 +39,19 @@
     assert!(!executor.on_report(at, report(9)));
 }
 
+/// An endpoint that leaves as planned ends what still runs. That is no crash.
+#[test]
+fn runs_that_end_with_a_draining_endpoint_count_as_stopped() {
+    let mut executor = executor();
+    executor.on_order(START, order(0, 1000, ms(500)));
+    executor.take_actions();
+    executor.on_start_reply(START, &run(0), StartOutcome::Started);
+    executor.on_report(START + ms(10), EndpointReport { draining: true, ..report(2) });
+    let at = START + ms(50);
+    executor.on_listing(at, &Listing { incarnation: 8, ..listing(at) });
+    assert_eq!(reported(&executor.take_actions()), [(run(0), RunStatus::Stopped)]);
+}
+
 /// The report of a new incarnation can arrive after its first listing. It must not be taken for
 /// another restart, which would give up tasks started in between. No task starts before the report,
 /// because only the report states the capacity. Found by the soak test with seed 1.
@@ -110,7 +123,7 @@
     executor.take_actions();
     executor.on_start_reply(START, &run(0), StartOutcome::Started);
     executor.on_incarnation_mismatch("i-1");
-    assert_eq!(reported(&executor.take_actions()), [(run(0), RunStatus::Stopped)]);
+    assert_eq!(reported(&executor.take_actions()), [(run(0), RunStatus::Crashed)]);
     assert!(
         executor.on_report(START, EndpointReport { id: "i-2".into(), incarnation: 3, ..report(1) })
     );
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -442,6 +442,9 @@
             }
             status => {
                 self.metrics.count("task_not_done");
+                if status == RunStatus::Crashed {
+                    self.metrics.count("task_lost_in_crash");
+                }
                 log::info!("agent: event=task task={} entry={entry} fate={status:?}", event.run);
             }
         }
