Give up a job once two endpoints have crashed under one of its tasks

Cause: a run lost in a crash was returned like a run that the system had stopped.

Change: the scheduler counts the endpoints that crashed under each task, and answers the job as failed after the second. The answer is final, so that the caller does not send the request again.

--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -115,7 +115,7 @@
 pub enum Answer {
     /// All tasks completed.
     Completed,
-    /// A task failed in as many runs as the contract allows.
+    /// A task failed in as many runs as the contract allows, or endpoints crashed under it.
     Failed,
     /// A caller has cancelled the job. Some of its tasks may have run.
     Cancelled,
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod agents;
+mod crashes;
 mod decision;
 mod deferral;
 mod endpoint;
@@ -350,10 +351,8 @@
         match event.status {
             RunStatus::Done(run_time) => self.on_done(now, name, index, run_time),
             RunStatus::Failed => self.on_failed(now, name, index, agent),
-            RunStatus::NotStarted
-            | RunStatus::StaleRun
-            | RunStatus::Stopped
-            | RunStatus::Crashed => {
+            RunStatus::Crashed => self.on_crashed(now, index, agent, event),
+            RunStatus::NotStarted | RunStatus::StaleRun | RunStatus::Stopped => {
                 if let Some(job) = self.jobs.get_mut(&name.request) {
                     job.tasks[index].on_returned(event.status, agent, STALE_RUN_INCREMENT);
                 }
--- a/crates/dispatch/src/scheduler/decision.rs
+++ b/crates/dispatch/src/scheduler/decision.rs
@@ -81,6 +81,15 @@
         /// Time until the answer from another endpoint.
         time_elsewhere: Duration,
     },
+    /// The job of a task is given up, because endpoints crashed under the task.
+    CrashLimitReached {
+        /// The run that was lost last.
+        run: TaskRun,
+        /// Agent whose endpoint crashed last.
+        agent: AgentId,
+        /// Number of endpoints that crashed under the task.
+        crashes: u32,
+    },
     /// An agent was silent until all leases expired, so that none of its tasks can still run.
     AgentLost {
         /// The agent.
@@ -126,6 +135,9 @@
                 remaining_here.as_millis(),
                 time_elsewhere.as_millis()
             ),
+            Self::CrashLimitReached { run, agent, crashes } => {
+                write!(f, "event=crash-limit task={run} agent={agent} crashes={crashes}")
+            }
             Self::AgentLost { agent, silence } => {
                 write!(f, "event=lost agent={agent} silence_ms={}", silence.as_millis())
             }
--- a/crates/dispatch/src/scheduler/task.rs
+++ b/crates/dispatch/src/scheduler/task.rs
@@ -32,6 +32,8 @@
     /// Number of the latest run, or 0 if the task was never sent.
     pub(super) last_run: u32,
     pub(super) failures: u32,
+    /// Number of endpoints that crashed while the task was there.
+    pub(super) crashes: u32,
     /// Agent that last failed, returned or lost the task.
     pub(super) avoid: Option<AgentId>,
     /// Whether any run of the task may have started.
@@ -45,6 +47,7 @@
             state: TaskState::Waiting,
             last_run: 0,
             failures: 0,
+            crashes: 0,
             avoid: None,
             may_have_started: false,
         }
@@ -95,16 +98,23 @@
         match status {
             RunStatus::StaleRun => self.last_run += stale_run_increment,
             RunStatus::NotStarted => self.avoid = Some(agent.clone()),
-            _ => {
-                self.avoid = Some(agent.clone());
-                self.may_have_started = true;
-            }
+            _ => self.on_lost(agent),
         }
     }
 
     pub(super) fn on_failed(&mut self, agent: &AgentId) {
-        self.state = TaskState::Waiting;
         self.failures += 1;
+        self.on_lost(agent);
+    }
+
+    pub(super) fn on_crashed(&mut self, agent: &AgentId) {
+        self.crashes += 1;
+        self.on_lost(agent);
+    }
+
+    /// Returns the task to the entry after a run that may have had effects.
+    fn on_lost(&mut self, agent: &AgentId) {
+        self.state = TaskState::Waiting;
         self.may_have_started = true;
         self.avoid = Some(agent.clone());
     }
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -186,6 +186,7 @@
             Decision::Sent { .. } => "task_sent",
             Decision::Returned { .. } => "task_back",
             Decision::Moved { .. } => "task_moved",
+            Decision::CrashLimitReached { .. } => "crash_limit_reached",
             Decision::AgentLost { .. } => "agent_lost",
         });
         log::info!("entry: {decision}");
