Run tasks elsewhere at once when their endpoint has crashed

Cause: the agent learned of the crash only from the next incarnation, about three seconds later. Each attempt to list extended the lease that the agent assumes, also when nothing listened at the endpoint's port, so the runs never expired. The status offered the endpoint until its last listing was 900 ms old.

Evidence: agents log that the open connection broke and that new ones are refused.

Change: when a listing meets no listener, confirmed runs are reported as crashed, queued tasks return, and the endpoint is not usable until its next listing. Unanswered starts are still cancelled at the next incarnation first.

a_task_that_ran_at_a_crashed_endpoint_is_run_elsewhere_in_time and a_crashed_endpoint_gets_no_orders failed before (no answer; 21 orders for 20 tasks).

--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -88,6 +88,8 @@
     /// Outcomes of recent runs: 0 if the task completed, 1 if it failed or if its start was refused
     /// as [`StartRefusal::Unhealthy`].
     failures: Samples,
+    /// Whether a process listens at the endpoint's address, as far as is known.
+    is_listening: bool,
     /// Whether the agent is stopping and accepts no tasks.
     is_draining: bool,
     actions: Vec<ExecutorAction>,
@@ -109,6 +111,7 @@
             entry_leases: SortedMap::new(),
             slowness_estimator: SlownessEstimator::default(),
             failures: Samples::default(),
+            is_listening: true,
             is_draining: false,
             actions: Vec::new(),
         }
@@ -131,7 +134,7 @@
 
     /// Returns what is known of the runs at the endpoint.
     pub fn activity(&self) -> EndpointActivity {
-        if self.last_listing_at.is_none() {
+        if self.last_listing_at.is_none() || !self.is_listening {
             EndpointActivity::Unknown
         } else if self.held.is_empty() && self.unknown_runs.is_empty() {
             EndpointActivity::Idle
--- a/crates/dispatch/src/executor/incarnation.rs
+++ b/crates/dispatch/src/executor/incarnation.rs
@@ -96,6 +96,24 @@
         true
     }
 
+    /// Handles a call that met no listener at the endpoint's address, which means that the process
+    /// has ended and with it all that it ran.
+    ///
+    /// Confirmed runs are reported as lost and queued tasks are returned, so that they run elsewhere
+    /// in time. A start without an answer may still reach the next incarnation, so it is cancelled
+    /// there first. No task starts until the endpoint answers a listing again.
+    pub fn on_not_listening(&mut self) {
+        let has_crashed = self.endpoint.as_ref().is_some_and(|endpoint| !endpoint.draining);
+        self.is_listening = false;
+        for (_, held) in self.held.iter_mut().filter(|(_, held)| held.phase != Phase::Queued) {
+            held.endpoint_crashed |= has_crashed;
+        }
+        for name in self.tasks_where(|held| held.phase == Phase::Running) {
+            self.remove_lost(&name);
+        }
+        self.return_queued();
+    }
+
     /// Removes all started tasks and reports them to their entries as lost.
     pub(super) fn give_up_started(&mut self) {
         let is_started = |held: &HeldTask| held.phase != Phase::Queued;
--- a/crates/dispatch/src/executor/listing.rs
+++ b/crates/dispatch/src/executor/listing.rs
@@ -28,6 +28,7 @@
             self.lease_deadline_ms = listing.clock_ms + millis(self.settings.longest_lease);
         }
         self.listed_incarnation = Some(listing.incarnation);
+        self.is_listening = true;
         self.last_listing_at = Some(now);
         self.clock = Some((now, listing.clock_ms));
         self.lease_deadline_ms = self.lease_deadline_ms.max(listing.clock_ms);
--- a/crates/dispatch/src/executor/start.rs
+++ b/crates/dispatch/src/executor/start.rs
@@ -57,7 +57,11 @@
         let accepts_tasks = self.endpoint.as_ref().is_some_and(|endpoint| {
             !endpoint.draining && self.listed_incarnation == Some(endpoint.incarnation)
         });
-        is_listing_recent && accepts_tasks && self.unknown_runs.is_empty() && !self.is_draining
+        is_listing_recent
+            && self.is_listening
+            && accepts_tasks
+            && self.unknown_runs.is_empty()
+            && !self.is_draining
     }
 
     fn try_start(&mut self, now: Duration, name: &TaskName, free: &mut FreeResources) {
@@ -109,6 +113,9 @@
 
     /// Handles the outcome of a start or of one of its copies.
     pub fn on_start_reply(&mut self, now: Duration, run: &TaskRun, outcome: StartOutcome) {
+        if outcome == StartOutcome::Refused(StartRefusal::NotListening) {
+            self.is_listening = false;
+        }
         let Some(held) = self.held.get_mut(&run.task).filter(|held| held.run_number == run.number)
         else {
             return;
@@ -136,7 +143,8 @@
 
     /// Sends another copy of an unanswered start. The endpoint accepts each run only once.
     fn resend_start(&mut self, now: Duration, name: &TaskName) {
-        let is_silent = self.last_listing_at.is_none_or(|at| now >= at + RESEND_LISTING_AGE);
+        let is_silent = !self.is_listening
+            || self.last_listing_at.is_none_or(|at| now >= at + RESEND_LISTING_AGE);
         let Some(held) = self.held.get_mut(name) else {
             return;
         };
@@ -153,7 +161,7 @@
     fn on_start_refused(&mut self, now: Duration, run: &TaskRun, refusal: StartRefusal) {
         match refusal {
             StartRefusal::OldRun => self.remove_and_report(&run.task, RunStatus::StaleRun),
-            StartRefusal::Unhealthy | StartRefusal::NotListening => {
+            StartRefusal::Unhealthy => {
                 self.failures.add(now, 1.0);
                 self.remove_and_report(&run.task, RunStatus::NotStarted);
             }
@@ -161,7 +169,8 @@
                 self.remove_and_report(&run.task, RunStatus::NotStarted);
                 self.last_listing_at = None;
             }
-            StartRefusal::Fenced
+            StartRefusal::NotListening
+            | StartRefusal::Fenced
             | StartRefusal::TooLate
             | StartRefusal::NoRoom
             | StartRefusal::Invalid => self.remove_and_report(&run.task, RunStatus::NotStarted),
--- a/crates/dispatch/src/executor/stop.rs
+++ b/crates/dispatch/src/executor/stop.rs
@@ -73,6 +73,9 @@
     }
 
     pub(super) fn resend_stops(&mut self, now: Duration) {
+        if !self.is_listening {
+            return;
+        }
         for (name, held) in self.held.iter_mut() {
             let is_unconfirmed = held.stop_confirmed_at.is_none();
             if is_unconfirmed
--- a/crates/dispatch/src/reply_tracker.rs
+++ b/crates/dispatch/src/reply_tracker.rs
@@ -24,8 +24,8 @@
 /// What an agent knows of the runs at its endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EndpointActivity {
-    /// No listing has arrived from the present incarnation. Tasks can start only after the first
-    /// one.
+    /// No listing has arrived from the present incarnation, or no process listens at the endpoint's
+    /// address. Tasks can start only after the next listing.
     Unknown,
     /// No task runs.
     Idle,
--- a/crates/dispatch/tests/testsuite/crashes.rs
+++ b/crates/dispatch/tests/testsuite/crashes.rs
@@ -12,7 +12,7 @@
     TaskProgress, TaskRun,
 };
 
-use crate::support::{SETTINGS, WARM_UP, agent, answers, job, ms};
+use crate::support::{SETTINGS, TERMS, WARM_UP, agent, answers, job, ms};
 
 const START: Duration = Duration::from_secs(100);
 /// Time between two steps of the simulation.
@@ -73,6 +73,7 @@
     /// Restarts the endpoint if its downtime is over, completes runs, and lists what runs.
     fn advance(&mut self, now: Duration) {
         if self.down_until.is_some_and(|until| now < until) {
+            self.executor.on_not_listening();
             return;
         }
         self.down_until = None;
@@ -110,6 +111,8 @@
     deadly: &'static str,
     downtime: Duration,
     crashes: u32,
+    /// Number of orders that entries sent.
+    orders: u32,
     answers: Vec<(Duration, String, Answer)>,
 }
 
@@ -131,6 +134,7 @@
             deadly: "deadly",
             downtime,
             crashes: 0,
+            orders: 0,
             answers: Vec::new(),
         };
         fleet.step();
@@ -197,6 +201,7 @@
     fn carry_out(&mut self, action: Action) {
         match action {
             Action::Order(to, order) => {
+                self.orders += 1;
                 let number = self.host_of(&to);
                 let received = ReceivedOrder { entry: entry(), order };
                 self.hosts[number].executor.on_order(self.now, received);
@@ -238,6 +243,16 @@
         }
     }
 
+    /// Crashes each endpoint that runs a task of a job.
+    fn crash_endpoints_of(&mut self, id: &str) {
+        let until = self.now + self.downtime;
+        let runs_job =
+            |host: &&mut Host| host.running.keys().any(|run| run.task.request.to_string() == id);
+        for host in self.hosts.iter_mut().filter(runs_job) {
+            host.crash(until);
+        }
+    }
+
     fn answer_of(&self, id: &str) -> Option<Answer> {
         self.answers.iter().find(|(_, other, _)| other == id).map(|(_, _, answer)| *answer)
     }
@@ -257,3 +272,33 @@
     fleet.run_for(Duration::from_secs(10));
     assert_eq!((fleet.crashes, fleet.answer_of("a1")), (2, Some(Answer::Failed)));
 }
+
+/// Guards against tasks that wait for a crashed endpoint until their callers' deadlines, although
+/// others have room.
+#[test]
+fn a_task_that_ran_at_a_crashed_endpoint_is_run_elsewhere_in_time() {
+    let mut fleet = Fleet::new(3, Duration::from_secs(3));
+    fleet.submit(job("a1", 1, 1000, RUN_TIME));
+    fleet.step();
+    fleet.crash_endpoints_of("a1");
+    let promised = RUN_TIME.mul_f64(TERMS.stretch) + TERMS.target_latency;
+    fleet.run_for(promised);
+    assert_eq!(fleet.answer_of("a1"), Some(Answer::Completed));
+}
+
+/// Guards against tasks that are sent to crashed endpoints again and again, each of which returns
+/// them at once.
+#[test]
+fn a_crashed_endpoint_gets_no_orders() {
+    let mut fleet = Fleet::new(3, Duration::from_secs(3));
+    fleet.submit(job("a1", 1, 1000, RUN_TIME));
+    fleet.step();
+    fleet.crash_endpoints_of("a1");
+    fleet.step();
+    fleet.orders = 0;
+    for number in 0..20 {
+        fleet.submit(job(&format!("b{number}"), 1, 1000, RUN_TIME));
+        fleet.step();
+    }
+    assert_eq!(fleet.orders, 20);
+}
--- a/crates/dispatch/tests/testsuite/executor/incarnations.rs
+++ b/crates/dispatch/tests/testsuite/executor/incarnations.rs
@@ -2,7 +2,7 @@
 
 use cowslipwing_dispatch::{
     EndpointActivity, EndpointReport, Executor, ExecutorAction, Listing, Resources, RunStatus,
-    StartOutcome, TaskProgress,
+    StartOutcome, StartRefusal, TaskProgress,
 };
 
 use super::{SETTINGS, START, executor, listing, order, report, reported, run, starts};
@@ -167,3 +167,36 @@
     assert!(!executor.status(START).usable);
     assert!(starts(&executor.take_actions()).is_empty());
 }
+
+/// A start meets no listener while a listing of the next incarnation is already on its way.
+#[test]
+fn an_endpoint_without_a_listener_takes_tasks_again_after_its_next_listing() {
+    let mut executor = executor();
+    executor.on_order(START, order(0, 1000, ms(500)));
+    executor.take_actions();
+    let refusal = StartOutcome::Refused(StartRefusal::NotListening);
+    executor.on_start_reply(START, &run(0), refusal);
+    assert_eq!(reported(&executor.take_actions()), [(run(0), RunStatus::NotStarted)]);
+    assert!(!executor.status(START).usable);
+    assert_eq!(executor.activity(), EndpointActivity::Unknown);
+    executor.on_listing(START + ms(5), &listing(START + ms(4)));
+    assert!(executor.status(START + ms(5)).usable);
+}
+
+/// A start without an answer may still reach the next incarnation of a crashed endpoint.
+#[test]
+fn an_unanswered_start_is_kept_while_its_endpoint_is_down() {
+    let mut executor = executor();
+    executor.on_order(START, order(0, 1000, ms(500)));
+    executor.on_order(START, order(1, 1000, ms(500)));
+    executor.take_actions();
+    executor.on_start_reply(START, &run(0), StartOutcome::Started);
+    executor.on_not_listening();
+    assert_eq!(reported(&executor.take_actions()), [(run(0), RunStatus::Crashed)]);
+    executor.on_tick(START + ms(31));
+    // The agent goes on asking for a listing, and each call may extend the lease.
+    executor.extend_lease(START + ms(2000));
+    executor.on_tick(START + ms(2000));
+    assert!(reported(&executor.take_actions()).is_empty());
+    assert_eq!(executor.started_count(), 1);
+}
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -284,6 +284,9 @@
                     log::warn!("agent: event=endpoint-lost error=\"{error}\"");
                 }
                 self.is_reachable = false;
+                if error.is_not_listening() {
+                    self.executor.on_not_listening();
+                }
                 if matches!(error, EndpointError::OtherIncarnation) {
                     let forgotten = self.executor.on_incarnation_mismatch(endpoint_id);
                     log::info!(
