Do not say "not run" of a task whose run number an endpoint has seen

A job could be answered 429 or 503, "refused, not run", after an endpoint had refused a run as old. The endpoint then knows the same or a higher run of the task, which an earlier attempt of the caller at another entry has started.

Cause: the status StaleRun left the mark of a started task as it was.

Change: the task counts as possibly started; it is still run again under a higher number. a_job_is_refused_only_if_no_run_may_have_started failed before for StaleRun. The random events of answers_are_consistent_with_task_events include crashes, and every status but NotStarted counts as a possible run.

--- a/crates/dispatch/src/scheduler/task.rs
+++ b/crates/dispatch/src/scheduler/task.rs
@@ -96,7 +96,10 @@
     ) {
         self.state = TaskState::Waiting;
         match status {
-            RunStatus::StaleRun => self.last_run += stale_run_increment,
+            RunStatus::StaleRun => {
+                self.last_run += stale_run_increment;
+                self.may_have_started = true;
+            }
             RunStatus::NotStarted => self.avoid = Some(agent.clone()),
             _ => self.on_lost(agent),
         }
--- a/crates/dispatch/tests/testsuite/scheduler.rs
+++ b/crates/dispatch/tests/testsuite/scheduler.rs
@@ -257,6 +257,37 @@
     assert!(second.iter().all(|(_, order)| order.run.task.step == 1));
 }
 
+/// Guards against a refusal that says "not run" after a run that may have started.
+#[test]
+fn a_job_is_refused_only_if_no_run_may_have_started() {
+    struct Case {
+        status: RunStatus,
+        is_refused: bool,
+    }
+    let cases = [
+        Case { status: RunStatus::NotStarted, is_refused: true },
+        // The endpoint has seen the run number, from another attempt of the caller.
+        Case { status: RunStatus::StaleRun, is_refused: false },
+        Case { status: RunStatus::Stopped, is_refused: false },
+        Case { status: RunStatus::Crashed, is_refused: false },
+        Case { status: RunStatus::Failed, is_refused: false },
+    ];
+    for Case { status: run_status, is_refused } in cases {
+        let mut scheduler = scheduler_with(START, &[status(32_000, 1.0)]);
+        scheduler.submit(START, job("a1", 1, 1000, ms(50)));
+        let sent = orders(&scheduler.take_actions());
+        // No endpoint is left for another run.
+        scheduler.on_detached(START, &agent(0));
+        let mut actions = report_status(&mut scheduler, START, &sent[0], run_status);
+        scheduler.on_tick(START + ms(1500));
+        actions.extend(scheduler.take_actions());
+        let answers = answers(&actions);
+        let refused = |(_, answer): &(String, Answer)| matches!(answer, Answer::Refused { .. });
+        assert_eq!(answers.len(), 1, "{run_status:?}");
+        assert_eq!(answers.iter().any(refused), is_refused, "{run_status:?}");
+    }
+}
+
 /// Applies a random event, drawn from two bytes: a tick, or an event of one of the open orders,
 /// whose status is returned.
 fn apply_random_event(
@@ -269,12 +300,13 @@
         return None;
     }
     let at = usize::from(pick) % open.len();
-    let status = match kind % 6 {
+    let status = match kind % 7 {
         0 => RunStatus::Done(ms(50)),
         1 => RunStatus::Failed,
         2 => RunStatus::NotStarted,
         3 => RunStatus::StaleRun,
         4 => RunStatus::Stopped,
+        5 => RunStatus::Crashed,
         _ => {
             scheduler.on_tick(now);
             return None;
@@ -295,14 +327,13 @@
         let mut runs = [0; 3];
         let (mut may_have_run, mut answered) = (false, 0);
         let mut now = START;
-        for event in std::iter::once((5, 0)).chain(events) {
+        for event in std::iter::once((6, 0)).chain(events) {
             now += ms(7);
             for number in 0..2 {
                 scheduler.on_heartbeat(now, &agent(number));
             }
             let status = apply_random_event(&mut scheduler, now, &mut open, event);
-            may_have_run |=
-                matches!(status, Some(RunStatus::Done(_) | RunStatus::Failed | RunStatus::Stopped));
+            may_have_run |= status.is_some_and(|status| status != RunStatus::NotStarted);
             let actions = scheduler.take_actions();
             for (agent, order) in orders(&actions) {
                 let task = order.run.task.index as usize;
