Do not say "not run" of a request whose job is still open

A repeated request that met its own job still open, in the moment in which the former caller leaves, was answered 429 "refused, not run: duplicate", while tasks of the job may run.

Change: it is answered 504, given up, may have run. The refusal for duplicates is gone. a_repeated_request_of_an_open_job_is_not_refused failed before (Refused, Duplicate).

--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -88,8 +88,6 @@
     NoEndpoint,
     /// No endpoint of the service has enough resources.
     TooLarge,
-    /// A request with the same id is still open.
-    Duplicate,
 }
 
 impl fmt::Display for RefusalReason {
@@ -98,7 +96,6 @@
             Self::Load => "load",
             Self::NoEndpoint => "no-endpoint",
             Self::TooLarge => "too-large",
-            Self::Duplicate => "duplicate",
         })
     }
 }
@@ -108,6 +105,8 @@
 pub enum GiveUpReason {
     /// The caller's timeout has expired, or the rest of the job cannot be done before it does.
     Deadline,
+    /// A job with the same id is still open.
+    StillOpen,
 }
 
 /// The final answer to a job.
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -121,8 +121,8 @@
         self.warm_up.on_event(now);
         if self.is_open(&id) {
             let retry_after = self.settings.entry_lease;
-            let reason = RefusalReason::Duplicate;
-            self.actions.push(Action::Answer(id, Answer::Refused { reason, retry_after }));
+            let reason = GiveUpReason::StillOpen;
+            self.actions.push(Action::Answer(id, Answer::GaveUp { reason, retry_after }));
             return;
         }
         let job = Job::new(now, spec, CALLER_NETWORK_DELAY);
--- a/crates/dispatch/tests/testsuite/scheduler.rs
+++ b/crates/dispatch/tests/testsuite/scheduler.rs
@@ -288,6 +288,17 @@
     }
 }
 
+/// Guards against a refusal that says "not run" for a request whose job is still open.
+#[test]
+fn a_repeated_request_of_an_open_job_is_not_refused() {
+    let mut scheduler = scheduler_with(START, &[status(32_000, 1.0)]);
+    scheduler.submit(START, job("a1", 1, 1000, ms(50)));
+    scheduler.take_actions();
+    scheduler.submit(START, job("a1", 1, 1000, ms(50)));
+    let answers = answers(&scheduler.take_actions());
+    assert!(matches!(answers[..], [(_, Answer::GaveUp { .. })]), "{answers:?}");
+}
+
 /// Applies a random event, drawn from two bytes: a tick, or an event of one of the open orders,
 /// whose status is returned.
 fn apply_random_event(
