--- a/crates/dispatch/src/executor/report.rs
+++ b/crates/dispatch/src/executor/report.rs
@@ -92,7 +92,7 @@
     NotListening,
     /// Another incarnation answers at the address.
     OtherIncarnation,
-    /// The endpoint rejected the call as invalid, or answered with an unknown reason or status.
+    /// The endpoint rejected the call as invalid, or for an unknown reason.
     Invalid,
 }
 
