Suspect the last started tasks of a crash

Cause: a crash counted alike for all runs at the endpoint.

Change: an agent marks the runs that started within 10 ms before the last start as suspects.

--- a/crates/dispatch/src/executor/held_task.rs
+++ b/crates/dispatch/src/executor/held_task.rs
@@ -41,7 +41,10 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum IncarnationEnd {
     /// It ended without notice.
-    Crashed,
+    Crashed {
+        /// Whether the task was among the last that were started before.
+        is_suspect: bool,
+    },
     /// It had announced that it would leave.
     Left,
 }
@@ -127,7 +130,7 @@
     /// Returns the status of the run after its loss with the endpoint or its lease.
     pub(super) fn lost_status(&self) -> RunStatus {
         match self.incarnation_end {
-            Some(IncarnationEnd::Crashed) => RunStatus::Crashed,
+            Some(IncarnationEnd::Crashed { is_suspect }) => RunStatus::Crashed { is_suspect },
             Some(IncarnationEnd::Left) | None => RunStatus::Stopped,
         }
     }
--- a/crates/dispatch/src/executor/incarnation.rs
+++ b/crates/dispatch/src/executor/incarnation.rs
@@ -10,6 +10,10 @@
 use super::held_task::{HeldTask, IncarnationEnd, Phase};
 use super::{EndpointReport, Executor};
 
+/// Time before the last start at a crashed endpoint within which other starts are suspected as well.
+/// A crash is noticed some milliseconds late, and other tasks may have started in between.
+const SUSPECT_PERIOD: Duration = Duration::from_millis(10);
+
 impl Executor {
     /// Records a report of the endpoint; returns whether the incarnation, its draining state or its
     /// capacity changed.
@@ -80,9 +84,17 @@
     /// Records for each started task that the incarnation has ended which it was sent to.
     fn record_incarnation_end(&mut self) {
         let has_crashed = self.endpoint.as_ref().is_some_and(|endpoint| !endpoint.draining);
-        let end = if has_crashed { IncarnationEnd::Crashed } else { IncarnationEnd::Left };
-        for (_, held) in self.held.iter_mut().filter(|(_, held)| held.phase != Phase::Queued) {
-            held.incarnation_end.get_or_insert(end);
+        let is_affected =
+            |held: &HeldTask| held.phase != Phase::Queued && held.incarnation_end.is_none();
+        let affected = self.held.values().filter(|held| is_affected(held));
+        let last_start = affected.map(|held| held.started_at).max().unwrap_or_default();
+        for (_, held) in self.held.iter_mut().filter(|(_, held)| is_affected(held)) {
+            let is_suspect = held.started_at + SUSPECT_PERIOD >= last_start;
+            held.incarnation_end = Some(if has_crashed {
+                IncarnationEnd::Crashed { is_suspect }
+            } else {
+                IncarnationEnd::Left
+            });
         }
     }
 
--- a/crates/dispatch/src/executor/start.rs
+++ b/crates/dispatch/src/executor/start.rs
@@ -132,7 +132,7 @@
             StartOutcome::NoReply => self.resend_start(now, &run.task),
             // The addressed incarnation is gone, and may have carried out another copy.
             StartOutcome::Refused(StartRefusal::OtherIncarnation) if held.sends > 1 => {
-                held.incarnation_end.get_or_insert(IncarnationEnd::Crashed);
+                held.incarnation_end.get_or_insert(IncarnationEnd::Crashed { is_suspect: true });
                 self.remove_lost(&run.task);
                 self.last_listing_at = None;
             }
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -351,7 +351,9 @@
         match event.status {
             RunStatus::Done(run_time) => self.on_done(now, name, index, run_time),
             RunStatus::Failed => self.on_failed(now, name, index, agent),
-            RunStatus::Crashed => self.on_crashed(now, index, agent, event),
+            RunStatus::Crashed { is_suspect } => {
+                self.on_crashed(now, index, agent, event, is_suspect);
+            }
             RunStatus::NotStarted | RunStatus::StaleRun | RunStatus::Stopped => {
                 if let Some(job) = self.jobs.get_mut(&name.request) {
                     job.tasks[index].on_returned(event.status, agent, STALE_RUN_INCREMENT);
--- a/crates/dispatch/src/scheduler/message.rs
+++ b/crates/dispatch/src/scheduler/message.rs
@@ -26,7 +26,11 @@
     /// The run was stopped or lost, but its endpoint is not known to have crashed.
     Stopped,
     /// The run was lost because its endpoint crashed.
-    Crashed,
+    Crashed {
+        /// Whether the run was among the last that were started before the crash, so that it may
+        /// have caused it.
+        is_suspect: bool,
+    },
     /// The run is far slower than is usual at its endpoint, and needs about this much more time.
     Slow(Duration),
     /// The task is more work than expected and cannot end in time, since it needs about this much
--- a/crates/dispatch/src/scheduler/task.rs
+++ b/crates/dispatch/src/scheduler/task.rs
@@ -34,6 +34,8 @@
     pub(super) failures: u32,
     /// Number of endpoints that crashed while the task was there.
     pub(super) crashes: u32,
+    /// Number of these crashes that the task is suspected of.
+    pub(super) suspected_crashes: u32,
     /// Agent that last failed, returned or lost the task.
     pub(super) avoid: Option<AgentId>,
     /// Whether any run of the task may have started.
@@ -48,6 +50,7 @@
             last_run: 0,
             failures: 0,
             crashes: 0,
+            suspected_crashes: 0,
             avoid: None,
             may_have_started: false,
         }
@@ -110,8 +113,9 @@
         self.on_lost(agent);
     }
 
-    pub(super) fn on_crashed(&mut self, agent: &AgentId) {
+    pub(super) fn on_crashed(&mut self, agent: &AgentId, is_suspect: bool) {
         self.crashes += 1;
+        self.suspected_crashes += u32::from(is_suspect);
         self.on_lost(agent);
     }
 
--- a/crates/node/src/convert.rs
+++ b/crates/node/src/convert.rs
@@ -65,7 +65,9 @@
         RunStatus::StaleRun => (proto::TaskFate::StaleRun, Duration::ZERO),
         RunStatus::Done(run_time) => (proto::TaskFate::Done, run_time),
         RunStatus::Failed => (proto::TaskFate::Failed, Duration::ZERO),
-        RunStatus::Stopped | RunStatus::Crashed => (proto::TaskFate::Stopped, Duration::ZERO),
+        RunStatus::Stopped | RunStatus::Crashed { .. } => {
+            (proto::TaskFate::Stopped, Duration::ZERO)
+        }
         RunStatus::Slow(remaining) => (proto::TaskFate::Slow, remaining),
         RunStatus::Overrun(remaining) => (proto::TaskFate::Overrun, remaining),
     };
@@ -73,7 +75,8 @@
         run: Some(run_to_proto(&event.run)),
         fate: fate.into(),
         millis: millis32(time),
-        crashed: event.status == RunStatus::Crashed,
+        crashed: matches!(event.status, RunStatus::Crashed { .. }),
+        crash_suspect: event.status == RunStatus::Crashed { is_suspect: true },
     }
 }
 
@@ -86,7 +89,9 @@
         proto::TaskFate::StaleRun => RunStatus::StaleRun,
         proto::TaskFate::Done => RunStatus::Done(time),
         proto::TaskFate::Failed => RunStatus::Failed,
-        proto::TaskFate::Stopped if wire.crashed => RunStatus::Crashed,
+        proto::TaskFate::Stopped if wire.crashed => {
+            RunStatus::Crashed { is_suspect: wire.crash_suspect }
+        }
         proto::TaskFate::Stopped => RunStatus::Stopped,
         proto::TaskFate::Slow => RunStatus::Slow(time),
         proto::TaskFate::Overrun => RunStatus::Overrun(time),
