Call a job failed only for crashes after confirmed starts

Callers got 200 with the state failed for jobs under whose tasks one endpoint or none had crashed.

Cause: a start that meets the crash of its endpoint gets no answer, and may never have been carried out. It counted as a crash under the task, and as the last start before it.

Change: the agent tells such runs from confirmed ones. They count towards a limit of their own, three crashes that the task was or may have been part of, after which the job is answered 504, may have run.

--- a/crates/dispatch/src/executor/held_task.rs
+++ b/crates/dispatch/src/executor/held_task.rs
@@ -5,7 +5,7 @@
 
 use crate::id::{EntryId, TaskName, TaskRun};
 use crate::resources::Resources;
-use crate::scheduler::{RunStatus, TaskOrder};
+use crate::scheduler::{CrashRole, RunStatus, TaskOrder};
 
 /// Lower bound of the remaining run time of a started task.
 const MIN_REMAINING: Duration = Duration::from_millis(5);
@@ -130,7 +130,15 @@
     /// Returns the status of the run after its loss with the endpoint or its lease.
     pub(super) fn lost_status(&self) -> RunStatus {
         match self.incarnation_end {
-            Some(IncarnationEnd::Crashed { is_suspect }) => RunStatus::Crashed { is_suspect },
+            Some(IncarnationEnd::Crashed { .. }) if self.confirmed_at.is_none() => {
+                RunStatus::Crashed(CrashRole::Unconfirmed)
+            }
+            Some(IncarnationEnd::Crashed { is_suspect: true }) => {
+                RunStatus::Crashed(CrashRole::Suspect)
+            }
+            Some(IncarnationEnd::Crashed { is_suspect: false }) => {
+                RunStatus::Crashed(CrashRole::Bystander)
+            }
             Some(IncarnationEnd::Left) | None => RunStatus::Stopped,
         }
     }
--- a/crates/dispatch/src/executor/incarnation.rs
+++ b/crates/dispatch/src/executor/incarnation.rs
@@ -86,8 +86,9 @@
         let has_crashed = self.endpoint.as_ref().is_some_and(|endpoint| !endpoint.draining);
         let is_affected =
             |held: &HeldTask| held.phase != Phase::Queued && held.incarnation_end.is_none();
-        let affected = self.held.values().filter(|held| is_affected(held));
-        let last_start = affected.map(|held| held.started_at).max().unwrap_or_default();
+        let is_confirmed = |held: &&HeldTask| is_affected(held) && held.confirmed_at.is_some();
+        let confirmed = self.held.values().filter(is_confirmed);
+        let last_start = confirmed.map(|held| held.started_at).max().unwrap_or_default();
         for (_, held) in self.held.iter_mut().filter(|(_, held)| is_affected(held)) {
             let is_suspect = held.started_at + SUSPECT_PERIOD >= last_start;
             held.incarnation_end = Some(if has_crashed {
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -107,6 +107,8 @@
     Deadline,
     /// A job with the same id is still open.
     StillOpen,
+    /// Several endpoints crashed that had or may have had one of the job's tasks.
+    Crashes,
 }
 
 /// The final answer to a job.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -45,5 +45,5 @@
 pub use route::{Route, RouteTable};
 pub use samples::{Samples, SlownessEstimator};
 pub use scheduler::{
-    Action, Decision, RunStatus, Scheduler, SchedulerSettings, TaskEvent, TaskOrder,
+    Action, CrashRole, Decision, RunStatus, Scheduler, SchedulerSettings, TaskEvent, TaskOrder,
 };
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -26,7 +26,7 @@
 use task::{Job, Task, TaskState};
 
 pub use decision::Decision;
-pub use message::{Action, RunStatus, TaskEvent, TaskOrder};
+pub use message::{Action, CrashRole, RunStatus, TaskEvent, TaskOrder};
 
 /// Network delay between the caller's first attempt and the arrival of the request, and likewise
 /// for the answer.
@@ -351,9 +351,7 @@
         match event.status {
             RunStatus::Done(run_time) => self.on_done(now, name, index, run_time),
             RunStatus::Failed => self.on_failed(now, name, index, agent),
-            RunStatus::Crashed { is_suspect } => {
-                self.on_crashed(now, index, agent, event, is_suspect);
-            }
+            RunStatus::Crashed(role) => self.on_crashed(now, index, agent, event, role),
             RunStatus::NotStarted | RunStatus::StaleRun | RunStatus::Stopped => {
                 if let Some(job) = self.jobs.get_mut(&name.request) {
                     job.tasks[index].on_returned(event.status, agent, STALE_RUN_INCREMENT);
--- a/crates/dispatch/src/scheduler/crashes.rs
+++ b/crates/dispatch/src/scheduler/crashes.rs
@@ -3,19 +3,53 @@
 //! A task may crash every endpoint that starts it. Each start then takes an endpoint away from all
 //! callers for seconds, so the job ends once two endpoints have crashed soon after they had started
 //! the task. A task that had run for longer more likely ran beside the one that caused the crash, and
-//! may survive one crash more.
+//! may survive one crash more. A start that was not confirmed is no proof that the task was there, so
+//! after too many of these the job is given up but not called failed.
 
 use std::time::Duration;
 
 use crate::id::AgentId;
-use crate::job::Answer;
+use crate::job::{Answer, GiveUpReason};
 
-use super::{Action, Decision, Scheduler, TaskEvent};
+use super::{Action, CrashRole, Decision, Scheduler, TaskEvent};
 
-/// Number of crashes soon after the start of a task from which its job is given up.
-const MAX_SUSPECTED_CRASHES: u32 = 2;
-/// Number of crashes at any time of a task's runs from which its job is given up.
-const MAX_CRASHES: u32 = 3;
+/// Number of crashes soon after the start of a task from which its job is failed.
+const MAX_SUSPECTED: u32 = 2;
+/// Number of crashes at any time of a task's runs from which its job is failed.
+const MAX_CONFIRMED: u32 = 3;
+/// Number of crashes, with or without a confirmed start, from which a job is given up.
+const MAX_POSSIBLE: u32 = 3;
+
+/// Number of endpoints that crashed under a task, by the part that the task had.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct CrashCount {
+    suspect: u32,
+    bystander: u32,
+    unconfirmed: u32,
+}
+
+impl CrashCount {
+    pub(super) fn add(&mut self, role: CrashRole) {
+        match role {
+            CrashRole::Suspect => self.suspect += 1,
+            CrashRole::Bystander => self.bystander += 1,
+            CrashRole::Unconfirmed => self.unconfirmed += 1,
+        }
+    }
+
+    fn confirmed(self) -> u32 {
+        self.suspect + self.bystander
+    }
+
+    fn possible(self) -> u32 {
+        self.confirmed() + self.unconfirmed
+    }
+
+    /// Returns whether the task has crashed as many endpoints as it may.
+    fn is_failed(self) -> bool {
+        self.suspect >= MAX_SUSPECTED || self.confirmed() >= MAX_CONFIRMED
+    }
+}
 
 impl Scheduler {
     /// Handles a run that was lost because its endpoint crashed.
@@ -25,24 +59,31 @@
         index: usize,
         agent: &AgentId,
         event: &TaskEvent,
-        is_suspect: bool,
+        role: CrashRole,
     ) {
         let name = &event.run.task;
         let Some(job) = self.jobs.get_mut(&name.request) else {
             return;
         };
         let task = &mut job.tasks[index];
-        task.on_crashed(agent, is_suspect);
-        if task.suspected_crashes < MAX_SUSPECTED_CRASHES && task.crashes < MAX_CRASHES {
+        task.on_crashed(agent, role);
+        let crashes = task.crashes;
+        let answer = if crashes.is_failed() {
+            Answer::Failed
+        } else if crashes.possible() >= MAX_POSSIBLE {
+            let retry_after = self.settings.lease_bound();
+            Answer::GaveUp { reason: GiveUpReason::Crashes, retry_after }
+        } else {
             self.place_task(now, &name.request, index);
             return;
-        }
+        };
         let decision = Decision::CrashLimitReached {
             run: event.run.clone(),
             agent: agent.clone(),
-            crashes: task.crashes,
+            confirmed: crashes.confirmed(),
+            possible: crashes.possible(),
         };
         self.actions.push(Action::Record(decision));
-        self.end_job(&name.request, Some(Answer::Failed));
+        self.end_job(&name.request, Some(answer));
     }
 }
--- a/crates/dispatch/src/scheduler/decision.rs
+++ b/crates/dispatch/src/scheduler/decision.rs
@@ -87,8 +87,10 @@
         run: TaskRun,
         /// Agent whose endpoint crashed last.
         agent: AgentId,
-        /// Number of endpoints that crashed under the task.
-        crashes: u32,
+        /// Number of endpoints that crashed after they had confirmed a start of the task.
+        confirmed: u32,
+        /// Number of endpoints that crashed after a start of the task was sent.
+        possible: u32,
     },
     /// An agent was silent until all leases expired, so that none of its tasks can still run.
     AgentLost {
@@ -135,9 +137,10 @@
                 remaining_here.as_millis(),
                 time_elsewhere.as_millis()
             ),
-            Self::CrashLimitReached { run, agent, crashes } => {
-                write!(f, "event=crash-limit task={run} agent={agent} crashes={crashes}")
-            }
+            Self::CrashLimitReached { run, agent, confirmed, possible } => write!(
+                f,
+                "event=crash-limit task={run} agent={agent} crashes={confirmed} possible={possible}"
+            ),
             Self::AgentLost { agent, silence } => {
                 write!(f, "event=lost agent={agent} silence_ms={}", silence.as_millis())
             }
--- a/crates/dispatch/src/scheduler/message.rs
+++ b/crates/dispatch/src/scheduler/message.rs
@@ -9,6 +9,17 @@
 
 use super::Decision;
 
+/// The part that a run had in the crash of its endpoint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CrashRole {
+    /// The run was among the last that were started before the crash, so that it may have caused it.
+    Suspect,
+    /// The run had been started before others.
+    Bystander,
+    /// The endpoint had not confirmed the start, so that the run may not have been there.
+    Unconfirmed,
+}
+
 /// The status of a run, which an agent reports to the entry that ordered it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunStatus {
@@ -26,11 +37,7 @@
     /// The run was stopped or lost, but its endpoint is not known to have crashed.
     Stopped,
     /// The run was lost because its endpoint crashed.
-    Crashed {
-        /// Whether the run was among the last that were started before the crash, so that it may
-        /// have caused it.
-        is_suspect: bool,
-    },
+    Crashed(CrashRole),
     /// The run is far slower than is usual at its endpoint, and needs about this much more time.
     Slow(Duration),
     /// The task is more work than expected and cannot end in time, since it needs about this much
--- a/crates/dispatch/src/scheduler/task.rs
+++ b/crates/dispatch/src/scheduler/task.rs
@@ -5,7 +5,8 @@
 use crate::id::{AgentId, TaskName, TaskRun};
 use crate::job::JobSpec;
 
-use super::RunStatus;
+use super::crashes::CrashCount;
+use super::{CrashRole, RunStatus};
 
 /// The location of a task.
 #[derive(Clone, Debug, PartialEq)]
@@ -32,10 +33,8 @@
     /// Number of the latest run, or 0 if the task was never sent.
     pub(super) last_run: u32,
     pub(super) failures: u32,
-    /// Number of endpoints that crashed while the task was there.
-    pub(super) crashes: u32,
-    /// Number of these crashes that the task is suspected of.
-    pub(super) suspected_crashes: u32,
+    /// Endpoints that crashed while the task was or may have been there.
+    pub(super) crashes: CrashCount,
     /// Agent that last failed, returned or lost the task.
     pub(super) avoid: Option<AgentId>,
     /// Whether any run of the task may have started.
@@ -49,8 +48,7 @@
             state: TaskState::Waiting,
             last_run: 0,
             failures: 0,
-            crashes: 0,
-            suspected_crashes: 0,
+            crashes: CrashCount::default(),
             avoid: None,
             may_have_started: false,
         }
@@ -113,9 +111,8 @@
         self.on_lost(agent);
     }
 
-    pub(super) fn on_crashed(&mut self, agent: &AgentId, is_suspect: bool) {
-        self.crashes += 1;
-        self.suspected_crashes += u32::from(is_suspect);
+    pub(super) fn on_crashed(&mut self, agent: &AgentId, role: CrashRole) {
+        self.crashes.add(role);
         self.on_lost(agent);
     }
 
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -445,7 +445,7 @@
             }
             status => {
                 self.metrics.count("task_not_done");
-                if matches!(status, RunStatus::Crashed { .. }) {
+                if matches!(status, RunStatus::Crashed(_)) {
                     self.metrics.count("task_lost_in_crash");
                 }
                 log::info!("agent: event=task task={} entry={entry} fate={status:?}", event.run);
--- a/crates/node/src/convert.rs
+++ b/crates/node/src/convert.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cowslipwing_dispatch::{
-    EndpointStatus, FreeResources, QueuedCpu, Resources, RunStatus, TaskEvent, TaskOrder,
+    CrashRole, EndpointStatus, FreeResources, QueuedCpu, Resources, RunStatus, TaskEvent, TaskOrder,
 };
 use cowslipwing_proto as proto;
 
@@ -65,9 +65,7 @@
         RunStatus::StaleRun => (proto::TaskFate::StaleRun, Duration::ZERO),
         RunStatus::Done(run_time) => (proto::TaskFate::Done, run_time),
         RunStatus::Failed => (proto::TaskFate::Failed, Duration::ZERO),
-        RunStatus::Stopped | RunStatus::Crashed { .. } => {
-            (proto::TaskFate::Stopped, Duration::ZERO)
-        }
+        RunStatus::Stopped | RunStatus::Crashed(_) => (proto::TaskFate::Stopped, Duration::ZERO),
         RunStatus::Slow(remaining) => (proto::TaskFate::Slow, remaining),
         RunStatus::Overrun(remaining) => (proto::TaskFate::Overrun, remaining),
     };
@@ -75,8 +73,9 @@
         run: Some(run_to_proto(&event.run)),
         fate: fate.into(),
         millis: millis32(time),
-        crashed: matches!(event.status, RunStatus::Crashed { .. }),
-        crash_suspect: event.status == RunStatus::Crashed { is_suspect: true },
+        crashed: matches!(event.status, RunStatus::Crashed(_)),
+        crash_suspect: event.status == RunStatus::Crashed(CrashRole::Suspect),
+        crash_unconfirmed: event.status == RunStatus::Crashed(CrashRole::Unconfirmed),
     }
 }
 
@@ -89,9 +88,7 @@
         proto::TaskFate::StaleRun => RunStatus::StaleRun,
         proto::TaskFate::Done => RunStatus::Done(time),
         proto::TaskFate::Failed => RunStatus::Failed,
-        proto::TaskFate::Stopped if wire.crashed => {
-            RunStatus::Crashed { is_suspect: wire.crash_suspect }
-        }
+        proto::TaskFate::Stopped if wire.crashed => RunStatus::Crashed(crash_role_from_proto(wire)),
         proto::TaskFate::Stopped => RunStatus::Stopped,
         proto::TaskFate::Slow => RunStatus::Slow(time),
         proto::TaskFate::Overrun => RunStatus::Overrun(time),
@@ -99,6 +96,16 @@
     Some(TaskEvent { run: run_from_proto(wire.run.as_ref()?)?, status })
 }
 
+fn crash_role_from_proto(wire: &proto::TaskEvent) -> CrashRole {
+    if wire.crash_unconfirmed {
+        CrashRole::Unconfirmed
+    } else if wire.crash_suspect {
+        CrashRole::Suspect
+    } else {
+        CrashRole::Bystander
+    }
+}
+
 pub(crate) fn status_to_proto(status: &EndpointStatus) -> proto::EndpointStatus {
     proto::EndpointStatus {
         usable: status.usable,
