Confine a queue whose tasks crash endpoints to a part of them

Cause: the limit for each task bounds what one task does, not what a queue does. Two crashes a job, each worth three seconds of an endpoint, are more than the endpoints can bear at three such jobs a second.

Change: once a task has been given up for crashes that it is suspected of, while at least a fifth of the endpoints is down, its queue may use a quarter of the endpoints only, chosen by rendezvous hashing so that entries agree without talking, and the other queues avoid these. It ends five seconds after the last suspected crash. What cannot be placed is refused at once.

--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod agents;
+mod containment;
 mod crashes;
 mod decision;
 mod deferral;
@@ -20,6 +21,7 @@
 use crate::predictor::Predictor;
 
 use admission::AdmissionRefusal;
+use containment::Containment;
 use deferral::{DeferredJob, WarmUp};
 use endpoint::Endpoint;
 use selection::EndpointQuery;
@@ -67,6 +69,7 @@
     deferred: Vec<DeferredJob>,
     warm_up: WarmUp,
     predictor: Predictor,
+    containment: Containment,
     actions: Vec<Action>,
 }
 
@@ -80,6 +83,7 @@
             deferred: Vec::new(),
             warm_up: WarmUp::default(),
             predictor: Predictor::default(),
+            containment: Containment::default(),
             actions: Vec::new(),
         }
     }
@@ -411,6 +415,7 @@
     /// jobs whose callers have timed out, and places waiting tasks.
     pub fn on_tick(&mut self, now: Duration) {
         self.warm_up.on_event(now);
+        self.containment.expire(now);
         let lease_bound = self.settings.lease_bound();
         let has_expired = |endpoint: &Endpoint| endpoint.has_expired(now, lease_bound);
         let expired: Vec<AgentId> = self
--- a/crates/dispatch/src/scheduler/crashes.rs
+++ b/crates/dispatch/src/scheduler/crashes.rs
@@ -68,6 +68,10 @@
         let task = &mut job.tasks[index];
         task.on_crashed(agent, role);
         let crashes = task.crashes;
+        if role == CrashRole::Suspect {
+            let (queue, service) = (job.spec.queue.clone(), job.spec.service.clone());
+            self.contain_queue(now, &queue, &service, crashes.is_failed());
+        }
         let answer = if crashes.is_failed() {
             Answer::Failed
         } else if crashes.possible() >= MAX_POSSIBLE {
--- a/crates/dispatch/src/scheduler/decision.rs
+++ b/crates/dispatch/src/scheduler/decision.rs
@@ -92,6 +92,13 @@
         /// Number of endpoints that crashed after a start of the task was sent.
         possible: u32,
     },
+    /// A queue whose tasks crash endpoints is confined to some of the endpoints.
+    QueueContained {
+        /// Name of the queue.
+        queue: CompactString,
+        /// Number of endpoints that its tasks may use.
+        endpoints: usize,
+    },
     /// An agent was silent until all leases expired, so that none of its tasks can still run.
     AgentLost {
         /// The agent.
@@ -141,6 +148,9 @@
                 f,
                 "event=crash-limit task={run} agent={agent} crashes={confirmed} possible={possible}"
             ),
+            Self::QueueContained { queue, endpoints } => {
+                write!(f, "event=contained queue={queue} endpoints={endpoints}")
+            }
             Self::AgentLost { agent, silence } => {
                 write!(f, "event=lost agent={agent} silence_ms={}", silence.as_millis())
             }
--- a/crates/dispatch/src/scheduler/selection.rs
+++ b/crates/dispatch/src/scheduler/selection.rs
@@ -21,6 +21,8 @@
 const AVOIDED_AGENT_COST: f64 = 2.0;
 /// Extra cost of an unreliable endpoint.
 const UNRELIABLE_ENDPOINT_COST: f64 = 4.0;
+/// Extra cost of an endpoint that a contained queue uses, and which may crash at any time.
+const CONTAINED_ENDPOINT_COST: f64 = 1.0;
 /// Standard deviation of the logarithm of work that was derived from progress.
 const OBSERVED_WORK_LOG_STD_DEV: f64 = 0.05;
 
@@ -87,6 +89,7 @@
                 continue;
             }
             if !endpoint.can_run(&spec.service, step)
+                || !self.containment.allows(&spec.queue, agent)
                 || is_step_limit_reached(step, agent, tasks_per_agent)
             {
                 continue;
@@ -100,6 +103,9 @@
             if avoid == Some(agent) {
                 cost += AVOIDED_AGENT_COST;
             }
+            if self.containment.is_used_by_other(&spec.queue, agent) {
+                cost += CONTAINED_ENDPOINT_COST;
+            }
             if endpoint.status.failure_rate > max_failure_rate {
                 cost += UNRELIABLE_ENDPOINT_COST;
             }
--- a/crates/dispatch/tests/testsuite/crashes.rs
+++ b/crates/dispatch/tests/testsuite/crashes.rs
@@ -423,3 +423,39 @@
     fleet.run_for(ms(200));
     assert_eq!(fleet.answer_of("a1"), Some(Answer::Completed));
 }
+
+/// Guards against a queue whose tasks crash endpoint after endpoint for the callers of all queues: a
+/// tenth of its jobs is deadly, which alone would keep all endpoints down.
+#[test]
+fn a_queue_with_deadly_tasks_leaves_endpoints_to_the_others() {
+    const SECONDS: u64 = 10;
+    /// Time in which the entry learns of the deadly tasks and the endpoints come back.
+    const LEARNING_SECONDS: u64 = 5;
+    let mut fleet = Fleet::new(11, LastReply::Started, ms(3200));
+    let mut sent_late = Vec::new();
+    for step in 0..SECONDS * 200 {
+        if step % 6 == 0 {
+            let payload = if step % 60 == 0 { "deadly" } else { "do it" };
+            let spec = job(&format!("a{step}"), 4, 3000, RUN_TIME);
+            fleet.submit(JobSpec { queue: "deadly".into(), payload: payload.into(), ..spec });
+        }
+        if step % 2 == 0 {
+            let id = format!("b{step}");
+            fleet.submit(job(&id, 1, 2000, RUN_TIME));
+            if step >= LEARNING_SECONDS * 200 {
+                sent_late.push(id);
+            }
+        }
+        fleet.step();
+    }
+    fleet.run_for(Duration::from_secs(2));
+    let is_completed = |id: &&String| fleet.answer_of(id) == Some(Answer::Completed);
+    let completed = sent_late.iter().filter(is_completed).count();
+    let share = completed as f64 / sent_late.len() as f64;
+    assert!(
+        share > 0.95,
+        "{completed} of {} completed; {} crashes",
+        sent_late.len(),
+        fleet.crashes
+    );
+}
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -187,6 +187,7 @@
             Decision::Returned { .. } => "task_back",
             Decision::Moved { .. } => "task_moved",
             Decision::CrashLimitReached { .. } => "crash_limit_reached",
+            Decision::QueueContained { .. } => "queue_contained",
             Decision::AgentLost { .. } => "agent_lost",
         });
         log::info!("entry: {decision}");
