--- a/crates/dispatch/src/scheduler/containment.rs
+++ b/crates/dispatch/src/scheduler/containment.rs
@@ -73,7 +73,8 @@
     ) {
         self.containment.expire(now);
         let is_contained = self.containment.queues.contains(queue);
-        if !is_contained && !(is_proven && self.down_share(now, service) >= MIN_DOWN_SHARE) {
+        let must_start = is_proven && self.down_share(now, service) >= MIN_DOWN_SHARE;
+        if !is_contained && !must_start {
             return;
         }
         let vms = self.vms_for_containment(queue, service);
