Crash endpoints by tasks and close their ports in the soak

Two percent of the soak's jobs in the fault period have a task that crashes each endpoint that starts it, and a crashed endpoint's port is closed for the time of the fault. New checks: no task is started three times after three endpoints have crashed under it, and no job is called failed without failures or crashes under one of its tasks.

The plans of faults and the other choices of a seed are as before, but for the downtime of crashes.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -12,6 +12,15 @@
 
 /// Time within which a published configuration must be in force at all entries.
 const CONFIG_TIMEOUT: Duration = Duration::from_secs(2);
+/// Number of endpoints that crash under a task after which it may hardly be started again.
+const MAX_CRASHES: usize = 3;
+/// Number of starts after [`MAX_CRASHES`] that are too many.
+const EXCESS_STARTS: usize = 3;
+/// Number of crashes under a task from which its job may be answered as failed.
+const CRASHES_TO_FAIL: usize = 2;
+/// Number of failed runs of a task from which its job may be answered as failed; the attempts that
+/// the configuration allows.
+const FAILURES_TO_FAIL: usize = 3;
 /// Least share of the requests after the recovery that must be served at their first attempt.
 const MIN_SERVED_SHARE: f64 = 0.9;
 
@@ -26,6 +35,10 @@
     RefusedJobStarted(String),
     /// A job was answered as completed although a task was not done.
     IncompleteJob(String),
+    /// A task was started again and again although endpoints had crashed under it.
+    CrashedAgain(String),
+    /// A job was answered as failed although none of its tasks had failed or crashed often enough.
+    FailedWithoutCause(String),
     /// A planned stop of an entry broke the connection of a request that had started tasks.
     AbortedByStop(String),
     /// An entry returned to an older configuration without a restart.
@@ -43,6 +56,10 @@
             Self::CapacityExceeded(detail) => write!(f, "endpoint capacity exceeded: {detail}"),
             Self::RefusedJobStarted(detail) => write!(f, "refused job was started: {detail}"),
             Self::IncompleteJob(detail) => write!(f, "task of a completed job not done: {detail}"),
+            Self::CrashedAgain(detail) => {
+                write!(f, "task crashes endpoint after endpoint: {detail}")
+            }
+            Self::FailedWithoutCause(detail) => write!(f, "job failed without cause: {detail}"),
             Self::AbortedByStop(detail) => write!(f, "request aborted by a planned stop: {detail}"),
             Self::ConfigReverted(detail) => write!(f, "configuration reverted: {detail}"),
             Self::ConfigNotInForce(detail) => write!(f, "configuration not in force: {detail}"),
@@ -96,11 +113,13 @@
     timeline: &Timeline,
 ) -> Report {
     let mut violations = find_concurrent_runs(run_events);
+    violations.extend(find_repeated_crashes(run_events));
     violations.extend(
         overcommitted.iter().map(|endpoint| Violation::CapacityExceeded(format!("{endpoint:?}"))),
     );
     for request in requests {
         violations.extend(find_request_violation(request, run_events));
+        violations.extend(find_failure_without_cause(request, run_events));
         violations.extend(find_aborted_request(request, run_events, &timeline.stops));
     }
     violations.extend(find_config_violations(probes, timeline));
@@ -144,6 +163,43 @@
     violations
 }
 
+fn find_repeated_crashes(run_events: &[RunEvent]) -> Vec<Violation> {
+    let mut counts: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+    for event in run_events {
+        let (crashes, excess_starts) = counts.entry(&event.task).or_default();
+        match event.outcome {
+            Some("crashed") => *crashes += 1,
+            None if *crashes >= MAX_CRASHES => *excess_starts += 1,
+            _ => {}
+        }
+    }
+    let is_excess =
+        |(_, (_, excess_starts)): &(&&str, &(usize, usize))| *excess_starts >= EXCESS_STARTS;
+    let detail = |(task, (crashes, _)): (&&str, &(usize, usize))| {
+        Violation::CrashedAgain(format!("{task}, {crashes} crashes"))
+    };
+    counts.iter().filter(is_excess).map(detail).collect()
+}
+
+fn find_failure_without_cause(request: &Request, run_events: &[RunEvent]) -> Option<Violation> {
+    let Outcome::Answered(StatusCode::OK, body) = &request.attempts.last()?.outcome else {
+        return None;
+    };
+    if !String::from_utf8_lossy(body).contains("failed") {
+        return None;
+    }
+    let has_cause = |index: u32| {
+        let name = format!("{}.0.0.{index}", request.id);
+        let ends = |outcome| {
+            let is_end = |event: &&RunEvent| event.task == name && event.outcome == Some(outcome);
+            run_events.iter().filter(is_end).count()
+        };
+        ends("crashed") >= CRASHES_TO_FAIL || ends("failed") >= FAILURES_TO_FAIL
+    };
+    let is_explained = (0..request.tasks).any(has_cause);
+    (!is_explained).then(|| Violation::FailedWithoutCause(request.id.clone()))
+}
+
 fn find_request_violation(request: &Request, run_events: &[RunEvent]) -> Option<Violation> {
     let is_refused = |outcome: &Outcome| {
         let refusals = [StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -186,7 +186,15 @@
                 sleep(duration).await;
                 self.endpoints[agent].set_behaviour(EndpointBehaviour::Normal);
             }
-            Fault::Crash(agent) => self.endpoints[agent].restart(),
+            Fault::Crash(agent, downtime) => {
+                let (endpoint, link) = (&self.endpoints[agent], &self.links[self.entries + agent]);
+                endpoint.restart();
+                endpoint.set_behaviour(EndpointBehaviour::Unresponsive);
+                link.set_behaviour(LinkBehaviour::Refused);
+                sleep(downtime).await;
+                endpoint.restart();
+                link.set_behaviour(LinkBehaviour::Normal);
+            }
             Fault::Drain(agent, duration) => {
                 self.endpoints[agent].set_draining(true);
                 sleep(duration).await;
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use cowslipwing_platform::{HttpClient, HttpError};
-use cowslipwing_standin::platform::job_body;
+use cowslipwing_standin::platform::{deadly_job_body, job_body};
 use hyper::{Method, StatusCode};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -25,6 +25,21 @@
 /// fault plan.
 const LOAD_SEED_SALT: u64 = 0x10ad;
 
+/// Value combined with the seed for the choice of deadly jobs.
+const DEADLY_SEED_SALT: u64 = 0xdead;
+/// Share of the jobs whose tasks crash the endpoints that start them.
+const DEADLY_SHARE: f64 = 0.02;
+
+/// Settings of the submitted jobs.
+pub(crate) struct LoadSettings {
+    /// Average number of jobs submitted per second.
+    pub(crate) jobs_per_second: u32,
+    /// Time from which no job is deadly.
+    pub(crate) deadly_until: Instant,
+    /// Time from which no job is submitted.
+    pub(crate) until: Instant,
+}
+
 /// Result of an attempt.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Outcome {
@@ -71,15 +86,17 @@
     pub(crate) probes: Mutex<Vec<RouteProbe>>,
 }
 
-/// Submits jobs until `until`, on average `jobs_per_second`, and waits for all of their callers.
+/// Submits jobs and waits for all of their callers.
 pub(crate) async fn submit_jobs(
     cluster: Arc<Cluster>,
     observations: Arc<Observations>,
     seed: u64,
-    jobs_per_second: u32,
-    until: Instant,
+    settings: LoadSettings,
 ) {
+    let LoadSettings { jobs_per_second, deadly_until, until } = settings;
     let mut rng = StdRng::seed_from_u64(seed ^ LOAD_SEED_SALT);
+    // Separate, so that the other choices of a seed do not depend on it.
+    let mut deadly_rng = StdRng::seed_from_u64(seed ^ DEADLY_SEED_SALT);
     let clients: Arc<Vec<HttpClient>> = Arc::new(
         (0..cluster.entries).map(|entry| HttpClient::new(cluster.caller_address(entry))).collect(),
     );
@@ -91,7 +108,9 @@
         let id = format!("{:016x}", rng.random::<u64>());
         let tasks = rng.random_range(1..5);
         let (ms, cpu) = (rng.random_range(20..120), rng.random_range(500..2000));
-        let body = job_body(tasks, ms, cpu);
+        let is_deadly = deadly_rng.random_bool(DEADLY_SHARE) && Instant::now() < deadly_until;
+        let body = if is_deadly { deadly_job_body(ms, cpu) } else { job_body(tasks, ms, cpu) };
+        let tasks = if is_deadly { 1 } else { tasks };
         let (clients, observations) = (clients.clone(), observations.clone());
         let first_entry = rng.random_range(0..cluster.entries);
         callers.spawn(async move {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -33,8 +33,8 @@
     Link(usize, LinkBehaviour, Duration),
     /// Sets the behaviour of an endpoint.
     Endpoint(usize, EndpointBehaviour, Duration),
-    /// Crashes an endpoint and restarts it at once.
-    Crash(usize),
+    /// Crashes an endpoint and restarts it after a pause, in which its port is closed.
+    Crash(usize, Duration),
     /// Makes an endpoint announce that it is draining, and then that it is ready again.
     Drain(usize, Duration),
     /// Sets the behaviour of the store.
@@ -87,7 +87,7 @@
         4 => Fault::Hangup(process),
         5..=7 => Fault::Link(process, random_link_behaviour(rng), duration),
         8..=10 => Fault::Endpoint(agent, random_endpoint_behaviour(rng), duration),
-        11 => Fault::Crash(agent),
+        11 => Fault::Crash(agent, duration),
         12 => Fault::Drain(agent, duration),
         13 => Fault::Store(random_store_behaviour(rng), duration),
         14 => Fault::DropHistory,
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -25,6 +25,8 @@
     OneWay,
     /// Connections are closed, and new ones as soon as they are accepted.
     Reset,
+    /// Connections are closed and new ones are refused, as if the target's process had ended.
+    Refused,
 }
 
 /// A proxy in front of one address.
@@ -40,12 +42,7 @@
         let listener = TcpListener::bind((ip, 0)).await?;
         let address = listener.local_addr()?;
         let behaviour = watch::Sender::new(LinkBehaviour::Normal);
-        let behaviour_changes = behaviour.subscribe();
-        tokio::spawn(async move {
-            while let Ok((inbound, _)) = listener.accept().await {
-                tokio::spawn(forward(inbound, target, behaviour_changes.clone()));
-            }
-        });
+        tokio::spawn(accept(listener, address, target, behaviour.subscribe()));
         Ok(Self { address, behaviour })
     }
 
@@ -55,6 +52,34 @@
     }
 }
 
+/// Forwards connections until the proxy is dropped. While they are refused, nothing listens.
+async fn accept(
+    mut listener: TcpListener,
+    address: SocketAddr,
+    target: SocketAddr,
+    mut behaviour: watch::Receiver<LinkBehaviour>,
+) -> std::io::Result<()> {
+    loop {
+        let connections = behaviour.clone();
+        tokio::select! {
+            accepted = listener.accept() => {
+                tokio::spawn(forward(accepted?.0, target, connections));
+                continue;
+            }
+            refused = behaviour.wait_for(|behaviour| *behaviour == LinkBehaviour::Refused) => {
+                if refused.is_err() {
+                    return Ok(());
+                }
+            }
+        }
+        drop(listener);
+        if behaviour.wait_for(|behaviour| *behaviour != LinkBehaviour::Refused).await.is_err() {
+            return Ok(());
+        }
+        listener = TcpListener::bind(address).await?;
+    }
+}
+
 async fn forward(
     inbound: TcpStream,
     target: SocketAddr,
@@ -73,7 +98,9 @@
         () = to_target => {}
         () = from_target => {}
         // Returning closes both connections.
-        _ = behaviour.wait_for(|behaviour| *behaviour == LinkBehaviour::Reset) => {}
+        _ = behaviour.wait_for(|behaviour| {
+            matches!(behaviour, LinkBehaviour::Reset | LinkBehaviour::Refused)
+        }) => {}
     }
 }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -12,7 +12,7 @@
 
 use crate::check::{PlannedStop, Report, Timeline, check};
 use crate::cluster::Cluster;
-use crate::load::{Observations, probe_routes, submit_jobs};
+use crate::load::{LoadSettings, Observations, probe_routes, submit_jobs};
 use crate::plan::{Fault, FaultPlan, ScheduledFault};
 
 /// Time after the end of the last fault within which service must recover.
@@ -105,8 +105,11 @@
         cluster.clone(),
         observations.clone(),
         settings.seed,
-        settings.jobs_per_second,
-        until,
+        LoadSettings {
+            jobs_per_second: settings.jobs_per_second,
+            deadly_until: started_at + settings.fault_period,
+            until,
+        },
     );
     let publish_late = async {
         sleep_until((faults_end + RECOVERY_TIME / 2).into()).await;
@@ -167,10 +170,11 @@
         | Fault::Freeze(_, duration)
         | Fault::Link(_, _, duration)
         | Fault::Endpoint(_, _, duration)
+        | Fault::Crash(_, duration)
         | Fault::Drain(_, duration)
         | Fault::Store(_, duration) => *duration,
         Fault::Stop(_) => MAX_STOP_TIME,
-        Fault::Hangup(_) | Fault::Crash(_) | Fault::DropHistory | Fault::Publish => Duration::ZERO,
+        Fault::Hangup(_) | Fault::DropHistory | Fault::Publish => Duration::ZERO,
     }
 }
 
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -10,6 +10,6 @@
 mod store;
 
 pub use endpoint::{EndpointBehaviour, PlatformEndpoint};
-pub use job::job_body;
+pub use job::{deadly_job_body, job_body};
 pub use run_log::{RunEvent, RunLog};
 pub use store::{PlatformStore, StoreBehaviour};
--- a/crates/standin/src/platform/endpoint.rs
+++ b/crates/standin/src/platform/endpoint.rs
@@ -2,7 +2,8 @@
 //! tasks that the agent starts. A run is one execution of a task.
 //!
 //! The task specification sets the run time and the CPU use of a task, for example `ms=60 cpu=1000`
-//! for 60 milliseconds on one core. A task whose specification contains `fail` ends as failed.
+//! for 60 milliseconds on one core. A task whose specification contains `fail` ends as failed, and
+//! one whose specification contains `deadly` crashes the endpoint soon after its start.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -68,6 +69,7 @@
     /// Part of `run_time` that has been completed.
     progress: Duration,
     fails: bool,
+    is_deadly: bool,
 }
 
 struct State {
@@ -182,10 +184,7 @@
     /// under a new incarnation.
     pub fn restart(&self) {
         let mut state = self.inner.state();
-        for run in std::mem::take(&mut state.runs) {
-            self.inner.run_log.record(&self.inner.id, &run.task, run.run_id, Some("crashed"));
-        }
-        *state = State::new(state.incarnation);
+        self.inner.crash(&mut state);
     }
 }
 
@@ -194,6 +193,13 @@
         self.state.lock().expect("the mutex of the endpoint is never poisoned")
     }
 
+    fn crash(&self, state: &mut State) {
+        for run in std::mem::take(&mut state.runs) {
+            self.run_log.record(&self.id, &run.task, run.run_id, Some("crashed"));
+        }
+        *state = State::new(state.incarnation);
+    }
+
     /// Advances the runs and ends those that are done, have failed or whose lease has expired.
     async fn advance_runs(self: Arc<Self>) {
         let mut last = Instant::now();
@@ -202,6 +208,9 @@
             let elapsed = last.elapsed();
             last = Instant::now();
             let mut state = self.state();
+            if state.runs.iter().any(|run| run.is_deadly) {
+                self.crash(&mut state);
+            }
             let speed = match state.behaviour {
                 EndpointBehaviour::Slow(factor) => 1.0 / f64::from(factor.max(1)),
                 EndpointBehaviour::Hanging => 0.0,
@@ -352,6 +361,7 @@
                 run_time: Duration::from_millis(spec_value(&spec, "ms=")),
                 progress: Duration::ZERO,
                 fails: spec.contains("fail"),
+                is_deadly: spec.contains("deadly"),
                 task: task.clone(),
                 run_id,
             };
