--- a/crates/dispatch/tests/testsuite/crashes.rs
+++ b/crates/dispatch/tests/testsuite/crashes.rs
@@ -1,294 +1,11 @@
 //! Tests of tasks that crash the endpoints that start them.
-//!
-//! A fleet of executors with simulated endpoints runs under one scheduler. An endpoint crashes soon
-//! after it has started a deadly task, and is back under a new incarnation after its downtime.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
-use cowslipwing_dispatch::{
-    Action, Answer, CrashRole, EndpointReport, EntryId, Executor, ExecutorAction, ExecutorSettings,
-    JobSpec, Listing, ReceivedOrder, Resources, RunOutcome, RunStatus, Scheduler, StartOutcome,
-    StartRefusal, TaskEnd, TaskEvent, TaskOrder, TaskProgress, TaskRun,
-};
-
-use crate::support::{
-    SETTINGS, TERMS, WARM_UP, agent, answers, job, ms, orders, resources, scheduler_with, status,
-};
-
-const START: Duration = Duration::from_secs(100);
-/// Time between two steps of the simulation.
-const STEP: Duration = Duration::from_millis(5);
-/// Time that each task takes.
-const RUN_TIME: Duration = Duration::from_millis(60);
-const ENDPOINT_CPU_MILLIS: u32 = 8000;
-
-/// How an endpoint answers the start of a deadly task before it crashes.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum LastReply {
-    Started,
-    None,
-}
-
-struct Host {
-    executor: Executor,
-    incarnation: u64,
-    /// Time at which the crashed endpoint is back.
-    down_until: Option<Duration>,
-    /// Running runs and the times at which they complete.
-    running: BTreeMap<TaskRun, Duration>,
-    ended: Vec<TaskEnd>,
-    end_count: u64,
-}
-
-impl Host {
-    fn new() -> Self {
-        let settings = ExecutorSettings {
-            entry_lease: SETTINGS.entry_lease,
-            endpoint_lease: SETTINGS.endpoint_lease,
-            longest_lease: ms(1000),
-        };
-        Self {
-            executor: Executor::new(settings),
-            incarnation: 1,
-            down_until: None,
-            running: BTreeMap::new(),
-            ended: Vec::new(),
-            end_count: 0,
-        }
-    }
-
-    fn report(&self) -> EndpointReport {
-        EndpointReport {
-            id: format!("i-{}", self.incarnation).into(),
-            incarnation: self.incarnation,
-            service: "desk".into(),
-            capacity: Resources { cpu_millis: ENDPOINT_CPU_MILLIS, memory_mb: 4096, gpus: 0 },
-            kind: "a".into(),
-            rack: "r1".into(),
-            draining: false,
-            sequence: 1,
-        }
-    }
-
-    fn crash(&mut self, until: Duration) {
-        self.down_until = Some(until);
-        self.incarnation += 1;
-        self.running.clear();
-        self.ended.clear();
-        self.end_count = 0;
-    }
-
-    /// Restarts the endpoint if its downtime is over, completes runs, and lists what runs.
-    fn advance(&mut self, now: Duration) {
-        if self.down_until.is_some_and(|until| now < until) {
-            self.executor.on_not_listening();
-            return;
-        }
-        self.down_until = None;
-        self.executor.on_report(now, self.report());
-        let acked = self.executor.last_acked();
-        self.ended.retain(|end| end.sequence > acked);
-        let is_done = |until: &Duration| now >= *until;
-        for (run, _) in self.running.clone().iter().filter(|(_, until)| is_done(until)) {
-            self.end(run, RunOutcome::Done);
-        }
-        let running = self.running.keys().cloned();
-        let listing = Listing {
-            requested_at: now,
-            incarnation: self.incarnation,
-            clock_ms: now.as_millis() as u64,
-            running: running.map(|run| TaskProgress { run, percent: 50 }).collect(),
-            ended: self.ended.clone(),
-        };
-        self.executor.on_listing(now, &listing);
-    }
-
-    fn end(&mut self, run: &TaskRun, outcome: RunOutcome) {
-        if self.running.remove(run).is_some() {
-            self.end_count += 1;
-            self.ended.push(TaskEnd { sequence: self.end_count, run: run.clone(), outcome });
-        }
-    }
-}
-
-struct Fleet {
-    now: Duration,
-    scheduler: Scheduler,
-    hosts: Vec<Host>,
-    /// Payload of the deadly tasks.
-    deadly: &'static str,
-    last_reply: LastReply,
-    downtime: Duration,
-    crashes: u32,
-    /// Number of orders that entries sent.
-    orders: u32,
-    answers: Vec<(Duration, String, Answer)>,
-}
-
-fn entry() -> EntryId {
-    "front-1@1".parse().unwrap()
-}
-
-impl Fleet {
-    fn new(size: usize, last_reply: LastReply, downtime: Duration) -> Self {
-        let mut scheduler = Scheduler::new(SETTINGS);
-        scheduler.on_tick(START - WARM_UP);
-        for number in 0..size {
-            scheduler.on_attached(START - WARM_UP, &agent(number), &[]);
-        }
-        let mut fleet = Self {
-            now: START,
-            scheduler,
-            hosts: (0..size).map(|_| Host::new()).collect(),
-            deadly: "deadly",
-            last_reply,
-            downtime,
-            crashes: 0,
-            orders: 0,
-            answers: Vec::new(),
-        };
-        fleet.step();
-        fleet
-    }
-
-    fn submit(&mut self, spec: JobSpec) {
-        self.scheduler.submit(self.now, spec);
-        self.exchange();
-    }
-
-    fn step(&mut self) {
-        self.now += STEP;
-        let now = self.now;
-        for host in &mut self.hosts {
-            host.executor.on_entry_heartbeat(&entry(), now);
-            host.advance(now);
-            host.executor.on_tick(now);
-        }
-        self.exchange();
-        for (number, host) in self.hosts.iter().enumerate() {
-            self.scheduler.on_status(now, &agent(number), host.executor.status(now));
-        }
-        self.scheduler.on_tick(now);
-        self.exchange();
-    }
-
-    fn run_for(&mut self, time: Duration) {
-        let until = self.now + time;
-        while self.now < until {
-            self.step();
-        }
-    }
-
-    /// Carries out actions until none is left.
-    fn exchange(&mut self) {
-        loop {
-            let actions = self.scheduler.take_actions();
-            let host_actions: Vec<(usize, ExecutorAction)> = (0..self.hosts.len())
-                .flat_map(|number| {
-                    let actions = self.hosts[number].executor.take_actions();
-                    actions.into_iter().map(move |action| (number, action))
-                })
-                .collect();
-            if actions.is_empty() && host_actions.is_empty() {
-                return;
-            }
-            let now = self.now;
-            self.answers
-                .extend(answers(&actions).into_iter().map(|(id, answer)| (now, id, answer)));
-            for action in actions {
-                self.carry_out(action);
-            }
-            for (number, action) in host_actions {
-                self.carry_out_at_host(number, action);
-            }
-        }
-    }
-
-    fn host_of(&self, wanted: &cowslipwing_dispatch::AgentId) -> usize {
-        (0..self.hosts.len()).find(|number| agent(*number) == *wanted).unwrap()
-    }
-
-    fn carry_out(&mut self, action: Action) {
-        match action {
-            Action::Order(to, order) => {
-                self.orders += 1;
-                let number = self.host_of(&to);
-                let received = ReceivedOrder { entry: entry(), order };
-                self.hosts[number].executor.on_order(self.now, received);
-            }
-            Action::Cancel(to, run) => {
-                let number = self.host_of(&to);
-                self.hosts[number].executor.on_cancel(self.now, &entry(), &run);
-            }
-            Action::Answer(..) | Action::Record(_) => {}
-        }
-    }
-
-    fn carry_out_at_host(&mut self, number: usize, action: ExecutorAction) {
-        let now = self.now;
-        let host = &mut self.hosts[number];
-        match action {
-            ExecutorAction::Start { run, .. } if host.down_until.is_some() => {
-                let refusal = StartOutcome::Refused(StartRefusal::NotListening);
-                host.executor.on_start_reply(now, &run, refusal);
-            }
-            ExecutorAction::Start { run, payload, .. } if &*payload == self.deadly => {
-                self.crashes += 1;
-                host.crash(now + self.downtime);
-                let outcome = match self.last_reply {
-                    LastReply::Started => StartOutcome::Started,
-                    LastReply::None => StartOutcome::NoReply,
-                };
-                host.executor.on_start_reply(now, &run, outcome);
-            }
-            ExecutorAction::Start { run, .. } => {
-                host.running.entry(run.clone()).or_insert(now + RUN_TIME);
-                host.executor.on_start_reply(now, &run, StartOutcome::Started);
-            }
-            ExecutorAction::Stop(run) => {
-                if host.down_until.is_none() {
-                    host.end(&run, RunOutcome::Aborted);
-                    host.executor.on_stop_confirmed(now, &run);
-                }
-            }
-            ExecutorAction::NotifyEntry(_, event) => {
-                self.scheduler.on_task_event(now, &agent(number), &event);
-            }
-        }
-    }
-
-    /// Crashes each endpoint that runs a task of a job.
-    fn crash_endpoints_of(&mut self, id: &str) {
-        let until = self.now + self.downtime;
-        let runs_job =
-            |host: &&mut Host| host.running.keys().any(|run| run.task.request.to_string() == id);
-        for host in self.hosts.iter_mut().filter(runs_job) {
-            host.crash(until);
-        }
-    }
-
-    /// Starts a run at a host that no job of the scheduler has ordered.
-    fn start_beside(&mut self, host: usize, run: TaskRun) {
-        let order = TaskOrder {
-            run,
-            payload: "do it".into(),
-            resources: resources(1000),
-            expected_work: RUN_TIME,
-            start_within: ms(100),
-            abandon_after: ms(1000),
-            end_within: ms(1400),
-            max_per_endpoint: 0,
-        };
-        self.hosts[host].executor.on_order(self.now, ReceivedOrder { entry: entry(), order });
-        self.exchange();
-    }
-
-    fn answer_of(&self, id: &str) -> Option<Answer> {
-        self.answers.iter().find(|(_, other, _)| other == id).map(|(_, _, answer)| *answer)
-    }
-}
+use cowslipwing_dispatch::{Answer, CrashRole, JobSpec, RunStatus, TaskEvent, TaskRun};
 
+use crate::fleet::{Fleet, Host, LastReply, RUN_TIME, START};
+use crate::support::{TERMS, answers, job, ms, orders, scheduler_with, status};
 /// Returns a job of one task whose caller waits for a long time.
 fn long_job(id: &str, payload: &str) -> JobSpec {
     let caller_timeout = Duration::from_secs(30);
@@ -459,3 +176,38 @@
         fleet.crashes
     );
 }
+
+/// Guards against the containment of a queue whose tasks are not the cause: several endpoints lose
+/// power at once, and again after some seconds.
+#[test]
+fn endpoints_that_crash_by_themselves_contain_no_queue() {
+    let mut fleet = Fleet::new(11, LastReply::Started, ms(3200));
+    for step in 0..2000 {
+        if step % 2 == 0 {
+            fleet.submit(job(&format!("a{step}"), 2, 2000, RUN_TIME));
+        }
+        if step % 700 == 300 {
+            let until = fleet.now + fleet.downtime;
+            let first = step / 700 * 3;
+            fleet.hosts[first..first + 4].iter_mut().for_each(|host| host.crash(until));
+        }
+        fleet.step();
+    }
+    assert_eq!(fleet.contained, 0);
+}
+
+/// Containment ends some seconds after the last crash.
+#[test]
+fn a_contained_queue_may_use_all_endpoints_again() {
+    let mut fleet = Fleet::new(8, LastReply::Started, ms(3200));
+    for number in 0..4 {
+        fleet.submit(long_job(&format!("a{number}"), "deadly"));
+        fleet.run_for(ms(20));
+    }
+    assert_eq!(fleet.contained, 1);
+    fleet.run_for(Duration::from_secs(9));
+    fleet.submit(job("b1", 16, 4000, RUN_TIME));
+    fleet.step();
+    let is_used = |host: &&Host| !host.running.is_empty();
+    assert_eq!(fleet.hosts.iter().filter(is_used).count(), 8);
+}
--- a/crates/dispatch/tests/testsuite/main.rs
+++ b/crates/dispatch/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod deferral;
 mod executor;
+mod fleet;
 mod placement;
 mod reply_tracker;
 mod scheduler;
