Start a suspect of a crash at no endpoint twice

Cause: the count of crashes belongs to a job at an entry. The next attempt starts from zero, at the same endpoints.

Change: an agent remembers the last 256 tasks that are suspected of a crash of its endpoint, and returns orders for them as such to whichever entry. An entry does not send a suspect to the VM again, and gives the job up at once if no other is left. Counts at the agents need no message between entries, no store, and hold during its outages.

--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -13,6 +13,7 @@
 mod status;
 mod stop;
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,7 +22,7 @@
 use crate::id::{EntryId, TaskName, TaskRun};
 use crate::reply_tracker::EndpointActivity;
 use crate::samples::{Samples, SlownessEstimator};
-use crate::scheduler::{RunStatus, TaskEvent};
+use crate::scheduler::{CrashRole, RunStatus, TaskEvent};
 
 use held_task::{HeldTask, Phase};
 
@@ -88,6 +89,8 @@
     /// Outcomes of recent runs: 0 if the task completed, 1 if it failed or if its start was refused
     /// as [`StartRefusal::Unhealthy`].
     failures: Samples,
+    /// Tasks that are suspected of a crash of the endpoint, oldest first.
+    crash_suspects: VecDeque<TaskName>,
     /// Whether a process listens at the endpoint's address, as far as is known.
     is_listening: bool,
     /// Whether the agent is stopping and accepts no tasks.
@@ -111,6 +114,7 @@
             entry_leases: SortedMap::new(),
             slowness_estimator: SlownessEstimator::default(),
             failures: Samples::default(),
+            crash_suspects: VecDeque::new(),
             is_listening: true,
             is_draining: false,
             actions: Vec::new(),
@@ -194,10 +198,17 @@
         *lease = expires_at.max(*lease);
     }
 
-    /// Accepts an order, or returns it at once as not started.
+    /// Accepts an order, or returns it at once as not started. A task that is suspected of a crash of
+    /// this endpoint is returned as such, also to an entry that did not order it before.
     pub fn on_order(&mut self, now: Duration, received: ReceivedOrder) {
         let ReceivedOrder { entry, order } = received;
         let name = order.run.task.clone();
+        if self.crash_suspects.contains(&name) {
+            let status = RunStatus::Crashed(CrashRole::Suspect);
+            let event = TaskEvent { run: order.run, status };
+            self.actions.push(ExecutorAction::NotifyEntry(entry, event));
+            return;
+        }
         let is_refused = self.is_draining
             || self.held.contains(&name)
             || self.endpoint.as_ref().is_none_or(|endpoint| {
--- a/crates/dispatch/src/executor/incarnation.rs
+++ b/crates/dispatch/src/executor/incarnation.rs
@@ -6,6 +6,7 @@
 
 use crate::id::TaskName;
 use crate::samples::{Samples, SlownessEstimator};
+use crate::scheduler::{CrashRole, RunStatus};
 
 use super::held_task::{HeldTask, IncarnationEnd, Phase};
 use super::{EndpointReport, Executor};
@@ -14,6 +15,10 @@
 /// A crash is noticed some milliseconds late, and other tasks may have started in between.
 const SUSPECT_PERIOD: Duration = Duration::from_millis(10);
 
+/// Maximum number of suspects of crashes that an agent remembers. Callers hand a job in again within
+/// seconds, in which an endpoint crashes a few times.
+const MAX_CRASH_SUSPECTS: usize = 256;
+
 impl Executor {
     /// Records a report of the endpoint; returns whether the incarnation, its draining state or its
     /// capacity changed.
@@ -140,8 +145,15 @@
 
     /// Removes a task whose run was lost with the endpoint or its lease, and reports it.
     pub(super) fn remove_lost(&mut self, name: &TaskName) {
-        if let Some(status) = self.held.get(name).map(HeldTask::lost_status) {
-            self.remove_and_report(name, status);
+        let Some(status) = self.held.get(name).map(HeldTask::lost_status) else {
+            return;
+        };
+        if status == RunStatus::Crashed(CrashRole::Suspect) {
+            self.crash_suspects.push_back(name.clone());
+            if self.crash_suspects.len() > MAX_CRASH_SUSPECTS {
+                self.crash_suspects.pop_front();
+            }
         }
+        self.remove_and_report(name, status);
     }
 }
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -215,6 +215,7 @@
         let avoid = task.avoid.as_ref();
         let query = EndpointQuery {
             avoid,
+            excluded_vms: &task.excluded_vms,
             tasks_per_agent: &tasks_per_agent,
             ..EndpointQuery::initial(step, task.rotation())
         };
@@ -263,14 +264,15 @@
         self.actions.push(Action::Order(selected.agent, order));
     }
 
-    /// Keeps a task waiting if no endpoint is available, or ends its job if none of it has started
-    /// or too little time is left.
+    /// Keeps a task waiting if no endpoint is available, or ends its job if none of it has started,
+    /// too little time is left, or the task may use no endpoint at all.
     fn keep_waiting_or_end(&mut self, now: Duration, id: &RequestId, index: usize) {
+        let has_endpoint = self.has_endpoint_for(id, index);
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
         job.tasks[index].state = TaskState::Waiting;
-        if now + MIN_TIME_LEFT > job.deadline || !job.has_started() {
+        if now + MIN_TIME_LEFT > job.deadline || !job.has_started() || !has_endpoint {
             self.end_unserved(now, id);
         }
     }
--- a/crates/dispatch/src/scheduler/crashes.rs
+++ b/crates/dispatch/src/scheduler/crashes.rs
@@ -5,10 +5,14 @@
 //! the task. A task that had run for longer more likely ran beside the one that caused the crash, and
 //! may survive one crash more. A start that was not confirmed is no proof that the task was there, so
 //! after too many of these the job is given up but not called failed.
+//!
+//! A caller may hand the job in again at another entry, which knows nothing of these crashes. The
+//! agents remember the suspects of crashes of their endpoints and do not start them again, so that a
+//! task crashes each endpoint once.
 
 use std::time::Duration;
 
-use crate::id::AgentId;
+use crate::id::{AgentId, RequestId};
 use crate::job::{Answer, GiveUpReason};
 
 use super::{Action, CrashRole, Decision, Scheduler, TaskEvent};
@@ -52,6 +56,21 @@
 }
 
 impl Scheduler {
+    /// Returns whether a task may go to any known endpoint of its service, usable or not, or has
+    /// crashed none.
+    pub(super) fn has_endpoint_for(&self, id: &RequestId, index: usize) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let excluded_vms = &job.tasks[index].excluded_vms;
+        let is_allowed = |agent: &AgentId| !excluded_vms.iter().any(|vm| vm == agent.vm_name());
+        let in_service = self
+            .endpoints
+            .iter()
+            .filter(|(_, endpoint)| endpoint.status.service == job.spec.service);
+        excluded_vms.is_empty() || in_service.map(|(agent, _)| agent).any(is_allowed)
+    }
+
     /// Handles a run that was lost because its endpoint crashed.
     pub(super) fn on_crashed(
         &mut self,
--- a/crates/dispatch/src/scheduler/migration.rs
+++ b/crates/dispatch/src/scheduler/migration.rs
@@ -62,7 +62,9 @@
         let deadline = job.deadline;
         let misses_deadline = now + left > deadline + OVERRUN_MARGIN;
         let initial = EndpointQuery::initial(step, job.tasks[index].rotation());
-        let query = EndpointQuery { observed_work: work, avoid: Some(agent), ..initial };
+        let excluded_vms = &job.tasks[index].excluded_vms;
+        let query =
+            EndpointQuery { observed_work: work, avoid: Some(agent), excluded_vms, ..initial };
         let selected = self.select_endpoint(now, job, query);
         let Some(selected) = selected.filter(|selected| selected.agent != *agent) else {
             if misses_deadline && work.is_some() {
--- a/crates/dispatch/src/scheduler/selection.rs
+++ b/crates/dispatch/src/scheduler/selection.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use compact_str::CompactString;
+
 use crate::id::AgentId;
 use crate::job::StepSpec;
 use crate::placement::{Candidate, Forecast, PlacementRequest};
@@ -38,6 +40,8 @@
     pub(super) observed_work: Option<Duration>,
     /// Agent to avoid if possible.
     pub(super) avoid: Option<&'a AgentId>,
+    /// Names of the VMs that must not get the task.
+    pub(super) excluded_vms: &'a [CompactString],
     /// Number of tasks of the step at each agent.
     pub(super) tasks_per_agent: &'a [(AgentId, u32)],
 }
@@ -45,7 +49,14 @@
 impl<'a> EndpointQuery<'a> {
     /// Creates the query for a task that has not run yet.
     pub(super) fn initial(step: &'a StepSpec, rotation: usize) -> Self {
-        Self { step, rotation, observed_work: None, avoid: None, tasks_per_agent: &[] }
+        Self {
+            step,
+            rotation,
+            observed_work: None,
+            avoid: None,
+            excluded_vms: &[],
+            tasks_per_agent: &[],
+        }
     }
 }
 
@@ -64,7 +75,8 @@
         job: &Job,
         query: EndpointQuery<'_>,
     ) -> Option<SelectedEndpoint> {
-        let EndpointQuery { step, rotation, observed_work, avoid, tasks_per_agent } = query;
+        let EndpointQuery { step, rotation, observed_work, avoid, excluded_vms, tasks_per_agent } =
+            query;
         let suspect_after = self.settings.suspect_after;
         let count = self.endpoints.len();
         let stride = count.div_ceil(MAX_CANDIDATES).max(1);
@@ -90,6 +102,7 @@
             }
             if !endpoint.can_run(&spec.service, step)
                 || !self.containment.allows(&spec.queue, agent)
+                || excluded_vms.iter().any(|vm| vm == agent.vm_name())
                 || is_step_limit_reached(step, agent, tasks_per_agent)
             {
                 continue;
--- a/crates/dispatch/src/scheduler/task.rs
+++ b/crates/dispatch/src/scheduler/task.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use compact_str::CompactString;
+
 use crate::id::{AgentId, TaskName, TaskRun};
 use crate::job::JobSpec;
 
@@ -35,6 +37,9 @@
     pub(super) failures: u32,
     /// Endpoints that crashed while the task was or may have been there.
     pub(super) crashes: CrashCount,
+    /// Names of the VMs whose endpoints the task is suspected to have crashed. It is not sent there
+    /// again.
+    pub(super) excluded_vms: Vec<CompactString>,
     /// Agent that last failed, returned or lost the task.
     pub(super) avoid: Option<AgentId>,
     /// Whether any run of the task may have started.
@@ -49,6 +54,7 @@
             last_run: 0,
             failures: 0,
             crashes: CrashCount::default(),
+            excluded_vms: Vec::new(),
             avoid: None,
             may_have_started: false,
         }
@@ -113,6 +119,9 @@
 
     pub(super) fn on_crashed(&mut self, agent: &AgentId, role: CrashRole) {
         self.crashes.add(role);
+        if role == CrashRole::Suspect {
+            self.excluded_vms.push(agent.vm_name().into());
+        }
         self.on_lost(agent);
     }
 
--- a/crates/dispatch/tests/testsuite/crashes.rs
+++ b/crates/dispatch/tests/testsuite/crashes.rs
@@ -211,3 +211,28 @@
     let is_used = |host: &&Host| !host.running.is_empty();
     assert_eq!(fleet.hosts.iter().filter(is_used).count(), 8);
 }
+
+/// Guards against a task that crashes the same endpoints again whenever its caller hands it in again.
+#[test]
+fn a_task_handed_in_again_crashes_each_endpoint_once_at_most() {
+    const ATTEMPTS: u32 = 6;
+    let mut fleet = Fleet::new(3, LastReply::Started, ms(300));
+    for _ in 0..ATTEMPTS {
+        fleet.submit(long_job("a1", "deadly"));
+        fleet.step();
+        // The entry is lost before it answers.
+        fleet.abandon("a1");
+        fleet.run_for(Duration::from_secs(1));
+    }
+    assert_eq!(fleet.crashes, 3);
+}
+
+/// Guards against a caller that waits until its deadline although no endpoint may take its task.
+#[test]
+fn a_task_whose_only_endpoint_crashed_is_given_up_at_once() {
+    let mut fleet = Fleet::new(1, LastReply::Started, ms(300));
+    fleet.submit(long_job("a1", "deadly"));
+    fleet.run_for(Duration::from_secs(1));
+    assert_eq!(fleet.crashes, 1);
+    assert!(matches!(fleet.answer_of("a1"), Some(Answer::GaveUp { .. })));
+}
--- a/crates/dispatch/tests/testsuite/executor/incarnations.rs
+++ b/crates/dispatch/tests/testsuite/executor/incarnations.rs
@@ -263,3 +263,25 @@
     ];
     assert_eq!(reported(&executor.take_actions()), expected);
 }
+
+/// Guards against a task that crashes the same endpoint in each attempt of its caller, at one entry
+/// after another. Found by the soak test with seed 745.
+#[test]
+fn a_suspect_of_a_crash_is_not_started_at_the_endpoint_again() {
+    let mut executor = executor();
+    executor.on_order(START, order(0, 1000, ms(500)));
+    executor.on_start_reply(START, &run(0), StartOutcome::Started);
+    executor.on_not_listening();
+    let at = START + ms(50);
+    executor.on_listing(at, &Listing { incarnation: 8, ..listing(at) });
+    executor.on_report(at, EndpointReport { incarnation: 8, ..report(1) });
+    executor.take_actions();
+    let mut other = order(0, 1000, ms(500));
+    other.entry = "front-2@1".parse().unwrap();
+    executor.on_entry_heartbeat(&other.entry, at);
+    executor.on_order(at, other);
+    executor.on_order(at, order(1, 1000, ms(500)));
+    let actions = executor.take_actions();
+    assert_eq!(reported(&actions), [(run(0), RunStatus::Crashed(CrashRole::Suspect))]);
+    assert_eq!(starts(&actions), [run(1)]);
+}
--- a/crates/dispatch/tests/testsuite/fleet.rs
+++ b/crates/dispatch/tests/testsuite/fleet.rs
@@ -157,6 +157,11 @@
         self.exchange();
     }
 
+    pub fn abandon(&mut self, id: &str) {
+        self.scheduler.abandon(&id.parse().unwrap());
+        self.exchange();
+    }
+
     pub fn step(&mut self) {
         self.now += STEP;
         let now = self.now;
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -14,7 +14,7 @@
     past_failure: &'static str,
 }
 
-const CASES: [Case; 2] = [
+const CASES: [Case; 3] = [
     Case {
         seed: 1,
         seconds: 8,
@@ -25,6 +25,11 @@
         seconds: 6,
         past_failure: "an entry that was known under two addresses had two streams from one agent",
     },
+    Case {
+        seed: 745,
+        seconds: 8,
+        past_failure: "a task crashed the same endpoint in each attempt of its caller",
+    },
 ];
 
 /// Returns the path of the daemon in the build profile of this test.
