Lose delayed requests of the stand-in endpoint in a crash

Cause: the stand-in carried out a start that it had delayed by 1.5 s although it had crashed and restarted meanwhile. The trace shows the start at 20.72 s and the unknown run, stopped at once, at 22.25 s.

The check and its bound are unchanged. Whether the platform's endpoints behave so is listed as a question.

--- a/crates/standin/src/platform/endpoint.rs
+++ b/crates/standin/src/platform/endpoint.rs
@@ -53,7 +53,8 @@
     Failing,
     /// Every nth request is executed without a reply.
     DroppingReplies(u32),
-    /// Every nth request, unless it is a `/hold`, gets no reply and is executed after a delay.
+    /// Every nth request, unless it is a `/hold`, gets no reply and is executed after a delay, or
+    /// never if the endpoint crashes before.
     DelayingExecution(u32),
     /// The endpoint neither replies to requests nor sends announcements.
     Unresponsive,
@@ -290,10 +291,10 @@
             return None;
         }
         let is_command = req.path != "/hold";
-        let request_number = {
+        let (request_number, incarnation) = {
             let mut state = self.state();
             state.requests = state.requests.wrapping_add(1);
-            state.requests
+            (state.requests, state.incarnation)
         };
         match behaviour {
             EndpointBehaviour::DroppingReplies(period)
@@ -310,7 +311,9 @@
                         u64::from(request_number % DELAY_STEPS) * DELAY_STEP_MS + DELAY_STEP_MS,
                     ))
                     .await;
-                    self.execute(&req).await;
+                    if self.state().incarnation == incarnation {
+                        self.execute(&req).await;
+                    }
                 });
                 None
             }
