--- a/crates/dispatch/tests/testsuite/crashes.rs
+++ b/crates/dispatch/tests/testsuite/crashes.rs
@@ -4,7 +4,7 @@
 
 use cowslipwing_dispatch::{Answer, CrashRole, JobSpec, RunStatus, TaskEvent, TaskRun};
 
-use crate::fleet::{Fleet, Host, LastReply, RUN_TIME, START};
+use crate::fleet::{DEADLY, Fleet, Host, LastReply, RUN_TIME, START};
 use crate::support::{TERMS, answers, job, ms, orders, scheduler_with, status};
 /// Returns a job of one task whose caller waits for a long time.
 fn long_job(id: &str, payload: &str) -> JobSpec {
@@ -16,7 +16,7 @@
 #[test]
 fn a_task_that_has_crashed_two_endpoints_is_not_started_again() {
     let mut fleet = Fleet::new(5, LastReply::Started, ms(300));
-    fleet.submit(long_job("a1", "deadly"));
+    fleet.submit(long_job("a1", DEADLY));
     fleet.run_for(Duration::from_secs(10));
     assert_eq!((fleet.crashes, fleet.answer_of("a1")), (2, Some(Answer::Failed)));
 }
@@ -26,7 +26,7 @@
 #[test]
 fn a_task_that_crashes_endpoints_before_they_confirm_it_is_given_up() {
     let mut fleet = Fleet::new(5, LastReply::None, ms(300));
-    fleet.submit(long_job("a1", "deadly"));
+    fleet.submit(long_job("a1", DEADLY));
     fleet.run_for(Duration::from_secs(10));
     assert_eq!(fleet.crashes, 3);
     assert!(matches!(fleet.answer_of("a1"), Some(Answer::GaveUp { .. })));
@@ -53,7 +53,7 @@
     ];
     for Case { roles, is_failed } in cases {
         let mut scheduler = scheduler_with(START, &[status(32_000, 1.0), status(32_000, 1.0)]);
-        scheduler.submit(START, long_job("a1", "deadly"));
+        scheduler.submit(START, long_job("a1", DEADLY));
         let mut actions = scheduler.take_actions();
         for role in roles {
             let (to, order) = orders(&actions).pop().unwrap();
@@ -85,7 +85,7 @@
     for Case { endpoints, downtimes_ms, caller_timeout } in cases {
         for downtime_ms in downtimes_ms.step_by(10) {
             let mut fleet = Fleet::new(endpoints, LastReply::None, ms(downtime_ms));
-            fleet.submit(JobSpec { caller_timeout, ..long_job("a1", "deadly") });
+            fleet.submit(JobSpec { caller_timeout, ..long_job("a1", DEADLY) });
             fleet.run_for(caller_timeout);
             let answer = fleet.answer_of("a1");
             let is_true = matches!(answer, Some(Answer::Failed | Answer::GaveUp { .. }));
@@ -152,9 +152,9 @@
     let mut sent_late = Vec::new();
     for step in 0..SECONDS * 200 {
         if step % 6 == 0 {
-            let payload = if step % 60 == 0 { "deadly" } else { "do it" };
+            let payload = if step % 60 == 0 { DEADLY } else { "do it" };
             let spec = job(&format!("a{step}"), 4, 3000, RUN_TIME);
-            fleet.submit(JobSpec { queue: "deadly".into(), payload: payload.into(), ..spec });
+            fleet.submit(JobSpec { queue: "risky".into(), payload: payload.into(), ..spec });
         }
         if step % 2 == 0 {
             let id = format!("b{step}");
@@ -201,7 +201,7 @@
 fn a_contained_queue_may_use_all_endpoints_again() {
     let mut fleet = Fleet::new(8, LastReply::Started, ms(3200));
     for number in 0..4 {
-        fleet.submit(long_job(&format!("a{number}"), "deadly"));
+        fleet.submit(long_job(&format!("a{number}"), DEADLY));
         fleet.run_for(ms(20));
     }
     assert_eq!(fleet.contained, 1);
@@ -218,7 +218,7 @@
     const ATTEMPTS: u32 = 6;
     let mut fleet = Fleet::new(3, LastReply::Started, ms(300));
     for _ in 0..ATTEMPTS {
-        fleet.submit(long_job("a1", "deadly"));
+        fleet.submit(long_job("a1", DEADLY));
         fleet.step();
         // The entry is lost before it answers.
         fleet.abandon("a1");
@@ -231,7 +231,7 @@
 #[test]
 fn a_task_whose_only_endpoint_crashed_is_given_up_at_once() {
     let mut fleet = Fleet::new(1, LastReply::Started, ms(300));
-    fleet.submit(long_job("a1", "deadly"));
+    fleet.submit(long_job("a1", DEADLY));
     fleet.run_for(Duration::from_secs(1));
     assert_eq!(fleet.crashes, 1);
     assert!(matches!(fleet.answer_of("a1"), Some(Answer::GaveUp { .. })));
--- a/crates/dispatch/tests/testsuite/fleet.rs
+++ b/crates/dispatch/tests/testsuite/fleet.rs
@@ -13,6 +13,10 @@
 };
 
 use crate::support::{SETTINGS, WARM_UP, agent, answers, ms, resources};
+
+/// Payload of a deadly task.
+pub const DEADLY: &str = "deadly";
+/// Start of the simulation.
 pub const START: Duration = Duration::from_secs(100);
 /// Time between two steps of the simulation.
 const STEP: Duration = Duration::from_millis(5);
@@ -27,6 +31,7 @@
     None,
 }
 
+/// An agent and its simulated endpoint.
 pub struct Host {
     executor: Executor,
     incarnation: u64,
@@ -68,6 +73,7 @@
         }
     }
 
+    /// Crashes the endpoint, which is back at `until`.
     pub fn crash(&mut self, until: Duration) {
         self.down_until = Some(until);
         self.incarnation += 1;
@@ -109,16 +115,16 @@
     }
 }
 
+/// Agents with their endpoints, and the scheduler of one entry.
 pub struct Fleet {
     pub now: Duration,
     scheduler: Scheduler,
     pub hosts: Vec<Host>,
-    /// Payload of the deadly tasks.
-    deadly: &'static str,
     last_reply: LastReply,
     pub downtime: Duration,
+    /// Number of crashes caused by deadly tasks.
     pub crashes: u32,
-    /// Number of orders that entries sent.
+    /// Number of orders that the entry sent.
     pub orders: u32,
     /// Number of times that a queue was contained.
     pub contained: u32,
@@ -140,7 +146,6 @@
             now: START,
             scheduler,
             hosts: (0..size).map(|_| Host::new()).collect(),
-            deadly: "deadly",
             last_reply,
             downtime,
             crashes: 0,
@@ -157,11 +162,13 @@
         self.exchange();
     }
 
+    /// Ends a job whose caller has left.
     pub fn abandon(&mut self, id: &str) {
         self.scheduler.abandon(&id.parse().unwrap());
         self.exchange();
     }
 
+    /// Advances the simulation by one step.
     pub fn step(&mut self) {
         self.now += STEP;
         let now = self.now;
@@ -239,7 +246,7 @@
                 let refusal = StartOutcome::Refused(StartRefusal::NotListening);
                 host.executor.on_start_reply(now, &run, refusal);
             }
-            ExecutorAction::Start { run, payload, .. } if &*payload == self.deadly => {
+            ExecutorAction::Start { run, payload, .. } if &*payload == DEADLY => {
                 self.crashes += 1;
                 host.crash(now + self.downtime);
                 let outcome = match self.last_reply {
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -12,9 +12,9 @@
 
 /// Time within which a published configuration must be in force at all entries.
 const CONFIG_TIMEOUT: Duration = Duration::from_secs(2);
-/// Number of endpoints that crash under a task after which it may hardly be started again.
+/// Number of endpoints that crash under a task before its further starts are counted.
 const MAX_CRASHES: usize = 3;
-/// Number of starts after [`MAX_CRASHES`] that are too many.
+/// Number of starts of a task after [`MAX_CRASHES`] that violate the guarantee.
 const EXCESS_STARTS: usize = 3;
 /// Number of crashes under a task from which its job may be answered as failed.
 const CRASHES_TO_FAIL: usize = 2;
