Report the data centre of endpoints, and take the price of distance from the settings

The run time far from the data's rack was a constant of 1.5, while deployments state 1.5, 2 or 3. Statuses now carry the data centre and orders the priority of their queue, for the decisions that follow. Absent fields mean the former behaviour.

--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -17,6 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use cowslipwing_types::SortedMap;
 
 use crate::id::{EntryId, TaskName, TaskRun};
@@ -34,8 +35,8 @@
 /// Lowest rate at which the endpoint's clock may run, relative to the agent's clock.
 const MIN_CLOCK_RATE: f64 = 0.98;
 
-/// Lease durations that an executor applies.
-#[derive(Clone, Copy, Debug)]
+/// Settings of an executor.
+#[derive(Clone, Debug)]
 pub struct ExecutorSettings {
     /// Time for which the tasks of an entry are kept after the last contact with it.
     pub entry_lease: Duration,
@@ -43,6 +44,8 @@
     pub endpoint_lease: Duration,
     /// Longest lease that the endpoint grants.
     pub longest_lease: Duration,
+    /// Data centre of the agent and its endpoint.
+    pub site: CompactString,
 }
 
 /// An action that the agent must carry out.
--- a/crates/dispatch/src/executor/status.rs
+++ b/crates/dispatch/src/executor/status.rs
@@ -29,6 +29,7 @@
             service: endpoint.service.clone(),
             kind: endpoint.kind.clone(),
             rack: endpoint.rack.clone(),
+            site: self.settings.site.clone(),
             capacity: endpoint.capacity,
             free,
             mean_remaining: self.mean_remaining(now, slowness),
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -37,7 +37,8 @@
 pub use id::{AgentId, EntryId, IdError, RequestId, TaskName, TaskRun};
 pub use job::{Answer, ContractTerms, GiveUpReason, JobSpec, RefusalReason, StepSpec};
 pub use placement::{
-    Candidate, EndpointStatus, Forecast, PlacementRequest, QueuedCpu, exceedance_probability,
+    Candidate, DEFAULT_REMOTE_RUN_TIME_RATIO, EndpointStatus, Forecast, PlacementRequest,
+    QueuedCpu, exceedance_probability,
 };
 pub use predictor::{Predictor, WorkEstimate};
 pub use reply_tracker::{EndpointActivity, ReplyTracker};
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -36,8 +36,8 @@
 /// Lower bound of the missing share of the capacity. It applies if a task waits for memory or
 /// accelerators while enough processor time is free.
 const MIN_SHORTAGE: f64 = 0.05;
-/// Run time with the data on another rack, relative to the same rack.
-const REMOTE_DATA_RATIO: f64 = 1.5;
+/// Run time with the data on another rack, relative to the same rack, unless the settings state it.
+pub const DEFAULT_REMOTE_RUN_TIME_RATIO: f64 = 1.5;
 
 /// The status of an endpoint, reported by its agent.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -50,6 +50,8 @@
     pub kind: CompactString,
     /// Rack of the endpoint.
     pub rack: CompactString,
+    /// Data centre of the endpoint; empty if it is not known.
+    pub site: CompactString,
     /// Total resources of the endpoint.
     pub capacity: Resources,
     /// Resources that are not reserved for started tasks.
@@ -123,8 +125,9 @@
     pub status: &'a EndpointStatus,
     /// Resources left after the orders in flight have arrived.
     pub free: FreeResources,
-    /// Whether the task's data is on another rack.
-    pub data_is_remote: bool,
+    /// Run time here relative to an endpoint on the rack of the task's data; 1 if the task names no
+    /// rack or the endpoint is on it.
+    pub distance_ratio: f64,
 }
 
 /// A task to be placed.
@@ -172,8 +175,7 @@
     /// The objective grows with the actual work, as the run time does. An endpoint whose slowness
     /// is below the stretch therefore stays in time, however far off the declared run time is.
     pub fn forecast(&self, request: &PlacementRequest) -> Forecast {
-        let distance_ratio = if self.data_is_remote { REMOTE_DATA_RATIO } else { 1.0 };
-        let slowness = self.status.slowness.max(MIN_SLOWNESS) * distance_ratio;
+        let slowness = self.status.slowness.max(MIN_SLOWNESS) * self.distance_ratio;
         let work = request.work.median.as_secs_f64();
         let run_secs = slowness * work;
         let terms = request.terms;
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -58,6 +58,8 @@
     pub endpoint_lease: Duration,
     /// Silence of an agent after which it gets no new tasks.
     pub suspect_after: Duration,
+    /// Run time of a task whose data is on another rack, relative to the same rack.
+    pub remote_run_time_ratio: f64,
 }
 
 /// The open jobs of an entry and the endpoints that they may use.
@@ -247,6 +249,7 @@
             abandon_after: abandon_after.max(MIN_TIME_LEFT),
             end_within: caller_time_left,
             max_per_endpoint,
+            priority: spec.terms.priority,
         };
         let Some(endpoint) = self.endpoints.get_mut(&selected.agent) else {
             return;
--- a/crates/dispatch/src/scheduler/message.rs
+++ b/crates/dispatch/src/scheduler/message.rs
@@ -74,6 +74,8 @@
     pub end_within: Duration,
     /// Maximum number of tasks of the step at this endpoint; 0 means no limit.
     pub max_per_endpoint: u32,
+    /// Priority of the queue; 0 is the most urgent.
+    pub priority: u32,
 }
 
 /// An action that the entry must carry out.
--- a/crates/dispatch/src/scheduler/selection.rs
+++ b/crates/dispatch/src/scheduler/selection.rs
@@ -109,8 +109,10 @@
             }
             let data_is_remote =
                 step.data_rack.as_ref().is_some_and(|rack| *rack != endpoint.status.rack);
+            let distance_ratio =
+                if data_is_remote { self.settings.remote_run_time_ratio } else { 1.0 };
             let candidate =
-                Candidate { status: &endpoint.status, free: endpoint.free(), data_is_remote };
+                Candidate { status: &endpoint.status, free: endpoint.free(), distance_ratio };
             let forecast = candidate.forecast(&request);
             let mut cost = candidate.cost(step.resources, &forecast);
             if avoid == Some(agent) {
--- a/crates/dispatch/tests/testsuite/executor.rs
+++ b/crates/dispatch/tests/testsuite/executor.rs
@@ -8,6 +8,7 @@
 
 use std::time::Duration;
 
+use compact_str::CompactString;
 use cowslipwing_dispatch::{
     EndpointReport, EntryId, Executor, ExecutorAction, ExecutorSettings, Listing, ReceivedOrder,
     Resources, RunStatus, TaskEvent, TaskOrder, TaskRun,
@@ -21,6 +22,7 @@
     entry_lease: Duration::from_millis(600),
     endpoint_lease: Duration::from_millis(500),
     longest_lease: Duration::from_millis(1000),
+    site: CompactString::const_new("here"),
 };
 
 fn entry() -> EntryId {
@@ -59,6 +61,7 @@
         abandon_after: ms(1000),
         end_within: ms(1400),
         max_per_endpoint: 0,
+        priority: 0,
     };
     ReceivedOrder { entry: entry(), order }
 }
--- a/crates/dispatch/tests/testsuite/fleet.rs
+++ b/crates/dispatch/tests/testsuite/fleet.rs
@@ -49,6 +49,7 @@
             entry_lease: SETTINGS.entry_lease,
             endpoint_lease: SETTINGS.endpoint_lease,
             longest_lease: ms(1000),
+            site: "here".into(),
         };
         Self {
             executor: Executor::new(settings),
@@ -292,6 +293,7 @@
             abandon_after: ms(1000),
             end_within: ms(1400),
             max_per_endpoint: 0,
+            priority: 0,
         };
         self.hosts[host].executor.on_order(self.now, ReceivedOrder { entry: entry(), order });
         self.exchange();
--- a/crates/dispatch/tests/testsuite/placement.rs
+++ b/crates/dispatch/tests/testsuite/placement.rs
@@ -26,7 +26,7 @@
     ];
     for case in cases {
         let status = status(32_000, case.slowness);
-        let candidate = Candidate { status: &status, free: status.free, data_is_remote: false };
+        let candidate = Candidate { status: &status, free: status.free, distance_ratio: 1.0 };
         let forecast = candidate.forecast(&request(case.work));
         assert!(
             case.late_probability.contains(&forecast.late_probability),
@@ -54,7 +54,7 @@
     let mut status = status(32_000, 0.7);
     status.free = FreeResources { cpu_millis: 4000, ..status.free };
     status.queued = queued;
-    let candidate = Candidate { status: &status, free: status.free, data_is_remote: false };
+    let candidate = Candidate { status: &status, free: status.free, distance_ratio: 1.0 };
     assert_eq!(candidate.forecast(&request(ms(60))).wait, Duration::ZERO);
     assert!(candidate.forecast(&request(ms(900))).wait > Duration::ZERO);
 }
--- a/crates/dispatch/tests/testsuite/simulation.rs
+++ b/crates/dispatch/tests/testsuite/simulation.rs
@@ -150,6 +150,7 @@
             entry_lease: ms(600),
             endpoint_lease: ms(500),
             longest_lease: LONGEST_LEASE,
+            site: "here".into(),
         };
         let mut simulation = Self {
             now: ms(10_000),
@@ -277,6 +278,7 @@
             abandon_after: ms(700),
             end_within: ms(1400),
             max_per_endpoint: 0,
+            priority: 0,
         };
         self.executor.on_order(self.now, ReceivedOrder { entry: entry(), order });
     }
--- a/crates/dispatch/tests/testsuite/support.rs
+++ b/crates/dispatch/tests/testsuite/support.rs
@@ -12,6 +12,7 @@
     entry_lease: Duration::from_millis(600),
     endpoint_lease: Duration::from_millis(500),
     suspect_after: Duration::from_millis(400),
+    remote_run_time_ratio: 1.5,
 };
 
 pub const TERMS: ContractTerms = ContractTerms {
@@ -63,6 +64,7 @@
         service: "desk".into(),
         kind: "a".into(),
         rack: "r1".into(),
+        site: "here".into(),
         capacity,
         free: FreeResources::from_capacity(capacity),
         queued: QueuedCpu::default(),
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -149,6 +149,7 @@
             entry_lease: ENTRY_LEASE,
             endpoint_lease: ENDPOINT_LEASE.min(config.longest_lease),
             longest_lease: config.longest_lease,
+            site: config.site.as_str().into(),
         };
         Self {
             id,
--- a/crates/node/src/convert.rs
+++ b/crates/node/src/convert.rs
@@ -38,6 +38,7 @@
         give_up_ms: millis32(order.abandon_after),
         end_within_ms: millis32(order.end_within),
         most_here: order.max_per_endpoint,
+        priority: order.priority,
     }
 }
 
@@ -56,6 +57,7 @@
         abandon_after: from_millis32(wire.give_up_ms),
         end_within: from_millis32(wire.end_within_ms),
         max_per_endpoint: wire.most_here,
+        priority: wire.priority,
     })
 }
 
@@ -112,6 +114,7 @@
         service: status.service.to_string(),
         kind: status.kind.to_string(),
         rack: status.rack.to_string(),
+        site: status.site.to_string(),
         cpu_millis: status.capacity.cpu_millis,
         memory_mb: status.capacity.memory_mb,
         gpus: status.capacity.gpus,
@@ -132,6 +135,7 @@
         service: wire.service.as_str().into(),
         kind: wire.kind.as_str().into(),
         rack: wire.rack.as_str().into(),
+        site: wire.site.as_str().into(),
         capacity: Resources {
             cpu_millis: wire.cpu_millis,
             memory_mb: wire.memory_mb,
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -87,6 +87,7 @@
             entry_lease: ENTRY_LEASE,
             endpoint_lease: ENDPOINT_LEASE.min(config.longest_lease),
             suspect_after: SUSPECT_AFTER,
+            remote_run_time_ratio: config.remote_run_time_ratio,
         };
         let members = Members::new(&config.seeds);
         members.add([address]);
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use cowslipwing_claims::KeyAgeLimits;
+use cowslipwing_dispatch::DEFAULT_REMOTE_RUN_TIME_RATIO;
 use cowslipwing_policy::JobLimits;
 use cowslipwing_proto as proto;
-use cowslipwing_types::{ByteSize, EndpointName, parse_duration};
+use cowslipwing_types::{ByteSize, EndpointName, Site, parse_duration};
 use snafu::{OptionExt, ensure};
 
 use crate::error::{BadValueSnafu, MissingSnafu, SettingsError};
@@ -21,6 +22,8 @@
 const MAX_TASKS_PER_JOB: u32 = 1000;
 /// Lower bound of `lease.length`; with shorter leases, renewals would take up most of the capacity.
 const MIN_LEASE_LENGTH: Duration = Duration::from_millis(200);
+/// Upper bound of `platform.remote_run_time_ratio`.
+const MAX_REMOTE_RUN_TIME_RATIO: f64 = 100.0;
 /// Upper bound of `limits.body` and `limits.answer`.
 const MAX_MESSAGE_SIZE: ByteSize = ByteSize::new(64 << 20);
 
@@ -30,14 +33,14 @@
     type Error = SettingsError;
 
     fn try_from(raw: proto::Settings) -> SettingsResult<Self> {
-        let site = parse_required("site", &raw.site, "the name of this data centre")?;
+        let site: Site = parse_required("site", &raw.site, "the name of this data centre")?;
         let platform = raw.platform;
         let role = match raw.role.as_str() {
             "entry" if platform.is_some() => {
-                Role::PlatformEntry(validate_platform_entry(&platform.unwrap_or_default())?)
+                Role::PlatformEntry(validate_platform_entry(&site, &platform.unwrap_or_default())?)
             }
             "agent" if platform.is_some() => {
-                Role::PlatformAgent(validate_platform_agent(&platform.unwrap_or_default())?)
+                Role::PlatformAgent(validate_platform_agent(&site, &platform.unwrap_or_default())?)
             }
             "entry" => Role::Entry(validate_entry(raw.entry.unwrap_or_default())?),
             "agent" => Role::Agent(validate_agent(raw.agent.unwrap_or_default())?),
@@ -88,8 +91,11 @@
     })
 }
 
-fn validate_platform_entry(raw: &proto::PlatformSettings) -> SettingsResult<PlatformEntryConfig> {
-    let common = validate_platform(raw)?;
+fn validate_platform_entry(
+    site: &Site,
+    raw: &proto::PlatformSettings,
+) -> SettingsResult<PlatformEntryConfig> {
+    let common = validate_platform(site, raw)?;
     let advertise = parse_optional_address("platform.advertise", &raw.advertise)?;
     let callers = parse_address("platform.callers", &raw.callers)?;
     let ready = parse_address("platform.ready", &raw.ready)?;
@@ -104,8 +110,11 @@
     Ok(PlatformEntryConfig { advertise: advertise.unwrap_or(peers), common, callers, ready })
 }
 
-fn validate_platform_agent(raw: &proto::PlatformSettings) -> SettingsResult<PlatformAgentConfig> {
-    let common = validate_platform(raw)?;
+fn validate_platform_agent(
+    site: &Site,
+    raw: &proto::PlatformSettings,
+) -> SettingsResult<PlatformAgentConfig> {
+    let common = validate_platform(site, raw)?;
     let announcements = parse_address("platform.announcements", &raw.announcements)?;
     let mut listeners = vec![("platform.announcements", announcements)];
     listeners.extend(metrics_listener(&common));
@@ -130,7 +139,7 @@
     Ok(())
 }
 
-fn validate_platform(raw: &proto::PlatformSettings) -> SettingsResult<PlatformConfig> {
+fn validate_platform(site: &Site, raw: &proto::PlatformSettings) -> SettingsResult<PlatformConfig> {
     let remedy = "the port on which entries listen for agents and other entries";
     let peer_port = optional_port("platform.peer_port", raw.peer_port)?;
     let peer_port = peer_port.context(MissingSnafu { key: "platform.peer_port", remedy })?;
@@ -145,9 +154,23 @@
         store: parse_address("platform.store", &raw.store)?,
         longest_lease: duration_or_default("platform.longest_lease", &raw.longest_lease, "1s")?,
         stop_grace: duration_or_default("platform.stop_grace", &raw.stop_grace, "6s")?,
+        site: site.clone(),
+        remote_run_time_ratio: remote_run_time_ratio(raw.remote_run_time_ratio)?,
     })
 }
 
+/// Returns the validated ratio, or the default if it is 0. An absent key is read as 0.
+fn remote_run_time_ratio(given: f64) -> SettingsResult<f64> {
+    if given == 0.0 {
+        return Ok(DEFAULT_REMOTE_RUN_TIME_RATIO);
+    }
+    if !(1.0..=MAX_REMOTE_RUN_TIME_RATIO).contains(&given) {
+        let key = "platform.remote_run_time_ratio";
+        return invalid_value(key, given, "give 1 to 100");
+    }
+    Ok(given)
+}
+
 /// Returns a port, or `None` if it is 0. An absent key is read as 0.
 fn optional_port(key: &'static str, given: u32) -> SettingsResult<Option<u16>> {
     match u16::try_from(given) {
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -60,6 +60,10 @@
     pub longest_lease: Duration,
     /// The grace period: the time between the stop signal and the forced end of the process.
     pub stop_grace: Duration,
+    /// The data centre of the VM.
+    pub site: Site,
+    /// The run time of a task whose data is on another rack, relative to the same rack.
+    pub remote_run_time_ratio: f64,
 }
 
 /// Settings of an entry on the platform.
