Tell large tasks from slow endpoints, and learn the tail of a queue's work

Callers saw jobs of a queue's tail given up after 0.4 to 1.1 s although their first endpoint would have finished them in time: a steady task of five times the expected run time counted as stalled, was moved, and lost its progress at each endpoint. At an endpoint whose other jobs run as usual it now counts as large, unless it stops, falls to a third of its rate or would need ten times the expected time.

A task that cannot end in time is reported once a lower bound of its run time proves it, from 4% of its progress instead of 25%.

--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -8,6 +8,7 @@
 mod held_task;
 mod incarnation;
 mod listing;
+mod progress;
 mod report;
 mod start;
 mod status;
--- a/crates/dispatch/src/executor/held_task.rs
+++ b/crates/dispatch/src/executor/held_task.rs
@@ -5,24 +5,23 @@
 
 use crate::id::{EntryId, TaskName, TaskRun};
 use crate::resources::Resources;
+use crate::samples::EndpointCondition;
 use crate::scheduler::{CrashRole, RunStatus, TaskOrder};
 
+use super::progress::Progress;
+
 /// Lower bound of the remaining run time of a started task.
 const MIN_REMAINING: Duration = Duration::from_millis(5);
-/// Progress assumed between two samples if none is visible, in percent.
-const MIN_PROGRESS_PERCENT: f64 = 0.5;
-/// Progress from which the run time can be projected, in percent. Progress is listed in whole
-/// percents, so that the error is 4% at 25%.
-const MIN_PROJECTION_PERCENT: u32 = 25;
 /// Lower bound of the expected work used as a divisor, in seconds.
 const MIN_WORK_SECS: f64 = 0.001;
-/// Minimum time between two progress samples, because progress is listed in whole percents.
-const PROGRESS_SAMPLE_INTERVAL: Duration = Duration::from_millis(35);
 /// Slowness relative to the baseline from which a task at a disturbed endpoint is reported as slow.
 const DISTURBED_SLOWNESS_RATIO: f64 = 1.8;
-/// Slowness relative to the baseline from which a task is reported as slow while others run
-/// normally. Wrong declared run times rarely explain this factor.
+/// Slowness relative to the baseline from which a task is reported as slow while its endpoint is not
+/// known to be disturbed. Wrong declared run times rarely explain this factor.
 const STALLED_SLOWNESS_RATIO: f64 = 5.0;
+/// Run time relative to the expected one above which a task counts as stalled rather than large. The
+/// largest tasks of a queue are about seven times the usual ones.
+const MAX_WORK_RATIO: f64 = 10.0;
 /// Upper bound of a projected remaining run time, in seconds.
 const MAX_PROJECTED_SECS: f64 = 600.0;
 
@@ -84,11 +83,8 @@
     /// How the incarnation ended that the start was first sent to; `None` while it is not known to
     /// have ended.
     pub(super) incarnation_end: Option<IncarnationEnd>,
-    progress_percent: u32,
-    /// Time and progress in percent of the latest progress sample.
-    last_sample: Option<(Duration, u32)>,
-    /// Run time of the whole task, projected from the latest two progress samples, in seconds.
-    projected_secs: Option<f64>,
+    /// Progress of the run since its start was first sent; `None` until it is listed.
+    progress: Option<Progress>,
     /// Time at which the run was last reported to its entry as slow or overrunning.
     pub(super) reported_at: Option<Duration>,
 }
@@ -115,9 +111,7 @@
             stop_sent_at: None,
             stop_confirmed_at: None,
             incarnation_end: None,
-            progress_percent: 0,
-            last_sample: None,
-            projected_secs: None,
+            progress: None,
             reported_at: None,
         }
     }
@@ -150,45 +144,51 @@
 
     /// Records the progress of the task.
     pub(super) fn on_progress(&mut self, now: Duration, percent: u32) {
-        self.progress_percent = percent;
-        let (sampled_at, from_percent) = *self.last_sample.get_or_insert((self.started_at, 0));
-        let elapsed = now.saturating_sub(sampled_at);
-        if elapsed < PROGRESS_SAMPLE_INTERVAL {
-            return;
-        }
-        let done = f64::from(percent.saturating_sub(from_percent)).max(MIN_PROGRESS_PERCENT);
-        self.projected_secs = Some(elapsed.as_secs_f64() * 100.0 / done);
-        self.last_sample = Some((now, percent));
+        let started_at = self.started_at;
+        self.progress.get_or_insert_with(|| Progress::new(started_at)).record(now, percent);
     }
 
     /// Returns the projected run time relative to the expected work, if progress was sampled.
     pub(super) fn projected_slowness(&self) -> Option<f64> {
-        Some(self.projected_secs? / self.expected_work.as_secs_f64().max(MIN_WORK_SECS))
+        Some(self.progress.as_ref()?.recent_secs()? / self.expected_secs())
     }
 
-    /// Returns the remaining run time if the task, by its average progress, will end after its
-    /// caller's deadline.
+    fn expected_secs(&self) -> f64 {
+        self.expected_work.as_secs_f64().max(MIN_WORK_SECS)
+    }
+
+    /// Returns the remaining run time if the task cannot end before its caller's deadline.
     pub(super) fn remaining_if_overrun(&self, now: Duration) -> Option<Duration> {
-        if self.progress_percent < MIN_PROJECTION_PERCENT {
-            return None;
-        }
-        let elapsed = now.saturating_sub(self.started_at);
-        // Progress is listed in whole percents, so that almost one percent more may be done.
-        let done = f64::from(self.progress_percent) + 1.0;
-        let left = elapsed.mul_f64((100.0 - done).max(0.0) / done);
-        (now + left > self.caller_deadline).then_some(left)
+        self.progress.as_ref()?.remaining_if_late(now, self.caller_deadline)
     }
 
     /// Returns the remaining run time if the task is slow because its endpoint is disturbed or the
     /// task has stalled.
-    pub(super) fn remaining_if_slow(&self, baseline: f64, is_disturbed: bool) -> Option<Duration> {
+    pub(super) fn remaining_if_slow(
+        &self,
+        now: Duration,
+        baseline: f64,
+        condition: EndpointCondition,
+    ) -> Option<Duration> {
+        let progress = self.progress.as_ref()?;
         let projected_slowness = self.projected_slowness()?;
-        let limit = if is_disturbed { DISTURBED_SLOWNESS_RATIO } else { STALLED_SLOWNESS_RATIO };
+        let limit = match condition {
+            EndpointCondition::Disturbed => DISTURBED_SLOWNESS_RATIO,
+            EndpointCondition::Normal | EndpointCondition::Unknown => STALLED_SLOWNESS_RATIO,
+        };
         if projected_slowness < limit * baseline {
             return None;
         }
-        let undone = f64::from(100u32.saturating_sub(self.progress_percent)) / 100.0;
-        Some(Duration::from_secs_f64((undone * self.projected_secs?).min(MAX_PROJECTED_SECS)))
+        // At an endpoint where other jobs run as usual, a steady task is large and not slow.
+        let max_secs = MAX_WORK_RATIO * baseline * self.expected_secs();
+        let is_large = condition == EndpointCondition::Normal
+            && !progress.has_slowed_down(now)
+            && progress.min_run_time(now).as_secs_f64() <= max_secs;
+        if is_large {
+            return None;
+        }
+        let left = progress.undone() * progress.recent_secs()?;
+        Some(Duration::from_secs_f64(left.min(MAX_PROJECTED_SECS)))
     }
 
     /// Returns the expected remaining run time of a started task.
--- a/crates/dispatch/src/executor/listing.rs
+++ b/crates/dispatch/src/executor/listing.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use crate::id::TaskName;
+use crate::id::{TaskName, TaskRun};
+use crate::samples::EndpointCondition;
 use crate::scheduler::{RunStatus, TaskEvent};
 
 use super::held_task::Phase;
@@ -36,9 +37,12 @@
             self.on_end(now, end);
         }
         self.unknown_runs.retain(|run, _| listing.running.iter().any(|found| found.run == *run));
-        let is_disturbed = self.slowness(now) > self.slowness_estimator.baseline();
         for progress in &listing.running {
-            self.on_progress(now, progress, is_disturbed);
+            self.record_progress(now, progress);
+        }
+        let condition = self.condition(now);
+        for progress in &listing.running {
+            self.report_slow_run(now, &progress.run, condition);
         }
         for name in self.tasks_where(|held| held.phase != Phase::Queued) {
             self.resolve_unlisted(now, &name, listing);
@@ -74,7 +78,8 @@
         self.remove_and_report(&end.run.task, status);
     }
 
-    fn on_progress(&mut self, now: Duration, progress: &TaskProgress, is_disturbed: bool) {
+    /// Records the progress of a run, or stops the run if it is not known.
+    fn record_progress(&mut self, now: Duration, progress: &TaskProgress) {
         let run = &progress.run;
         let Some(held) = self.held.get_mut(&run.task).filter(|held| held.run_number == run.number)
         else {
@@ -90,8 +95,16 @@
             held.incarnation_end = None;
         }
         held.on_progress(now, progress.percent);
+    }
+
+    /// Reports a run to its entry if it is slow or cannot end in time.
+    fn report_slow_run(&mut self, now: Duration, run: &TaskRun, condition: EndpointCondition) {
         let baseline = self.slowness_estimator.baseline();
-        let slow = held.remaining_if_slow(baseline, is_disturbed).map(RunStatus::Slow);
+        let Some(held) = self.held.get_mut(&run.task).filter(|held| held.run_number == run.number)
+        else {
+            return;
+        };
+        let slow = held.remaining_if_slow(now, baseline, condition).map(RunStatus::Slow);
         let Some(status) = slow.or_else(|| held.remaining_if_overrun(now).map(RunStatus::Overrun))
         else {
             return;
--- a/crates/dispatch/src/executor/status.rs
+++ b/crates/dispatch/src/executor/status.rs
@@ -6,6 +6,7 @@
 
 use crate::id::RequestId;
 use crate::placement::{EndpointStatus, QueuedCpu};
+use crate::samples::EndpointCondition;
 
 use super::Executor;
 use super::held_task::Phase;
@@ -47,6 +48,15 @@
 
     /// Returns the current slowness of the endpoint, estimated from ended and running tasks.
     pub(super) fn slowness(&self, now: Duration) -> f64 {
+        self.slowness_estimator.current(now, self.projected_slowness_by_job())
+    }
+
+    /// Returns whether the recent tasks run as is usual at the endpoint.
+    pub(super) fn condition(&self, now: Duration) -> EndpointCondition {
+        self.slowness_estimator.condition(now, self.projected_slowness_by_job())
+    }
+
+    fn projected_slowness_by_job(&self) -> Vec<f64> {
         // Run times of the tasks of a job are off by a similar factor, so each job counts once.
         let mut slowness_by_job: SortedMap<&RequestId, f64> = SortedMap::new();
         for (name, held) in self.held.iter() {
@@ -54,7 +64,7 @@
                 slowness_by_job.insert(&name.request, projected_slowness);
             }
         }
-        self.slowness_estimator.current(now, slowness_by_job.into_values())
+        slowness_by_job.into_values()
     }
 
     /// Returns the processor time that queued tasks require, by the time until their latest useful
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -44,7 +44,7 @@
 pub use reply_tracker::{EndpointActivity, ReplyTracker};
 pub use resources::{FreeResources, Resources};
 pub use route::{Route, RouteTable};
-pub use samples::{Samples, SlownessEstimator};
+pub use samples::{EndpointCondition, Samples, SlownessEstimator};
 pub use scheduler::{
     Action, CrashRole, Decision, RunStatus, Scheduler, SchedulerSettings, TaskEvent, TaskOrder,
 };
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -169,6 +169,20 @@
     }
 }
 
+impl PlacementRequest {
+    /// Returns the probability that the caller times out before a task that waits and runs for
+    /// these times ends.
+    fn timeout_probability(&self, wait_secs: f64, run_secs: f64) -> f64 {
+        let used_secs = TRANSFER_TIME.as_secs_f64() + wait_secs + run_secs;
+        let deviations = [
+            self.work.log_std_dev * run_secs,
+            SLOWNESS_REL_STD_DEV * run_secs,
+            WAIT_REL_STD_DEV * wait_secs,
+        ];
+        exceedance_probability(self.caller_time_left.as_secs_f64() - used_secs, &deviations)
+    }
+}
+
 impl Candidate<'_> {
     /// Predicts how a task would perform at this endpoint.
     ///
@@ -193,16 +207,11 @@
             TRANSFER_STD_DEV,
         ];
         let late_probability = exceedance_probability(slack_secs - wait_secs, &deviations);
-        let spare_secs = request.caller_time_left.as_secs_f64()
-            - TRANSFER_TIME.as_secs_f64()
-            - wait_secs
-            - run_secs;
-        let deviations = [
-            request.work.log_std_dev * run_secs,
-            SLOWNESS_REL_STD_DEV * run_secs,
-            WAIT_REL_STD_DEV * wait_secs,
-        ];
-        let timeout_probability = exceedance_probability(spare_secs, &deviations);
+        let other_probability = request.work.other_probability;
+        let other_run_secs = run_secs * request.work.other_ratio;
+        let timeout_probability = (1.0 - other_probability)
+            * request.timeout_probability(wait_secs, run_secs)
+            + other_probability * request.timeout_probability(wait_secs, other_run_secs);
         Forecast {
             wait,
             run_time: Duration::from_secs_f64(run_secs),
--- a/crates/dispatch/src/predictor.rs
+++ b/crates/dispatch/src/predictor.rs
@@ -3,6 +3,10 @@
 //! Declared run times are inaccurate, and more so the further they are from the usual ones of their
 //! queue. A regression of the logarithm of the work on the logarithm of the declared run time
 //! accounts for both.
+//!
+//! A few jobs of a queue may be many times the usual size. The work of a queue is therefore a mixture
+//! of usual and large jobs, which share the slope of the regression. A declared run time far above
+//! the usual ones may stem from either.
 
 use std::time::Duration;
 
@@ -25,17 +29,37 @@
 const MAX_ERROR_FACTOR: f64 = 6.0;
 /// Maximum number of queues to keep a regression for.
 const MAX_QUEUES: usize = 4096;
+/// Share of large jobs, assumed before any observation.
+const INITIAL_TAIL_SHARE: f64 = 0.005;
+/// Bounds of the learned share of large jobs. Above the upper one they are the usual ones.
+const TAIL_SHARE_RANGE: (f64, f64) = (0.001, 0.2);
+/// Size of the large jobs relative to the usual ones, assumed before any observation.
+const INITIAL_TAIL_FACTOR: f64 = 6.0;
+/// Bounds of the learned size of the large jobs relative to the usual ones.
+const TAIL_FACTOR_RANGE: (f64, f64) = (3.0, 20.0);
 
 /// The predicted work of a task: its run time on an endpoint of slowness 1.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WorkEstimate {
-    /// Median of the work.
+    /// Median of the work, given that the job is of the more probable size.
     pub median: Duration,
-    /// Standard deviation of the natural logarithm of the work.
+    /// Standard deviation of the natural logarithm of the work around the median.
     pub log_std_dev: f64,
+    /// Probability that the job is of the other size, 0 to 0.5.
+    pub other_probability: f64,
+    /// Median of the work in that case, relative to `median`.
+    pub other_ratio: f64,
+}
+
+impl WorkEstimate {
+    /// Returns an estimate of jobs of one size.
+    pub fn of_one_size(median: Duration, log_std_dev: f64) -> Self {
+        Self { median, log_std_dev, other_probability: 0.0, other_ratio: 1.0 }
+    }
 }
 
-/// A regression of work on declared run time, both as logarithms of seconds.
+/// A regression of work on declared run time, both as logarithms of seconds, for usual and large
+/// jobs. Its means are those of the usual ones.
 #[derive(Clone, Copy, Debug)]
 struct Regression {
     weight: f64,
@@ -44,6 +68,10 @@
     variance: f64,
     covariance: f64,
     error_variance: f64,
+    /// Share of large jobs.
+    tail_share: f64,
+    /// Logarithm of the size of large jobs relative to usual ones.
+    tail_shift: f64,
 }
 
 impl Regression {
@@ -56,21 +84,60 @@
             variance: INITIAL_VARIANCE,
             covariance: INITIAL_VARIANCE,
             error_variance: INITIAL_LOG_STD_DEV * INITIAL_LOG_STD_DEV,
+            tail_share: INITIAL_TAIL_SHARE,
+            tail_shift: INITIAL_TAIL_FACTOR.ln(),
         }
     }
 
-    fn predict(&self, declared: f64) -> f64 {
-        let slope = (self.covariance / self.variance.max(MIN_VARIANCE)).clamp(0.0, 1.0);
-        self.mean_work + slope * (declared - self.mean_declared)
+    fn slope(&self) -> f64 {
+        (self.covariance / self.variance.max(MIN_VARIANCE)).clamp(0.0, 1.0)
+    }
+
+    /// Returns the expected work of a usual job.
+    fn predict_usual(&self, declared: f64) -> f64 {
+        self.mean_work + self.slope() * (declared - self.mean_declared)
+    }
+
+    /// Returns the expected work of a large job.
+    fn predict_large(&self, declared: f64) -> f64 {
+        self.predict_usual(declared) + (1.0 - self.slope()) * self.tail_shift
+    }
+
+    /// Returns the probability that a job with this declared run time is large.
+    fn large_probability(&self, declared: f64) -> f64 {
+        let deviation = declared - self.mean_declared;
+        let variance = self.variance.max(MIN_VARIANCE);
+        let large = self.tail_share * density(deviation - self.tail_shift, variance);
+        let usual = (1.0 - self.tail_share) * density(deviation, variance);
+        large / (large + usual).max(f64::MIN_POSITIVE)
+    }
+
+    fn predict(&self, declared: f64) -> WorkEstimate {
+        let log_std_dev = self.error_variance.sqrt();
+        let large_probability = self.large_probability(declared);
+        let (usual, large) = (self.predict_usual(declared), self.predict_large(declared));
+        let (median, other, other_probability) = if large_probability > 0.5 {
+            (large, usual, 1.0 - large_probability)
+        } else {
+            (usual, large, large_probability)
+        };
+        WorkEstimate {
+            median: Duration::from_secs_f64(median.exp()),
+            log_std_dev,
+            other_probability,
+            other_ratio: (other - median).exp(),
+        }
     }
 
     fn observe(&mut self, declared: f64, work: f64) {
-        let expected = self.predict(declared);
+        self.weight += 1.0;
+        let rate = MIN_LEARNING_RATE.max(1.0 / self.weight);
+        let large = self.observe_size(declared, work, rate);
+        let rate = rate * (1.0 - large);
+        let expected = self.predict_usual(declared);
         let max_error = MAX_ERROR_FACTOR.ln();
         let error = (work - expected).clamp(-max_error, max_error);
         let work = expected + error;
-        self.weight += 1.0;
-        let rate = MIN_LEARNING_RATE.max(1.0 / self.weight);
         let (declared_deviation, work_deviation) =
             (declared - self.mean_declared, work - self.mean_work);
         self.mean_declared += rate * declared_deviation;
@@ -80,6 +147,29 @@
         self.covariance = decay * (self.covariance + rate * declared_deviation * work_deviation);
         self.error_variance += rate * (error * error - self.error_variance);
     }
+
+    /// Learns the share and the size of large jobs. Returns the probability that this job is one.
+    fn observe_size(&mut self, declared: f64, work: f64, rate: f64) -> f64 {
+        let prior = self.large_probability(declared);
+        let variance = self.error_variance.max(MIN_VARIANCE);
+        let large = prior * density(work - self.predict_large(declared), variance);
+        let usual = (1.0 - prior) * density(work - self.predict_usual(declared), variance);
+        let large = large / (large + usual).max(f64::MIN_POSITIVE);
+        let (min_share, max_share) = TAIL_SHARE_RANGE;
+        self.tail_share =
+            (self.tail_share + rate * (large - self.tail_share)).clamp(min_share, max_share);
+        // The observation's share of all large jobs seen so far.
+        let tail_rate = rate * large / self.tail_share;
+        let (min_factor, max_factor) = TAIL_FACTOR_RANGE;
+        let shift = self.tail_shift + tail_rate * (work - self.mean_work - self.tail_shift);
+        self.tail_shift = shift.clamp(min_factor.ln(), max_factor.ln());
+        large
+    }
+}
+
+/// Returns a number proportional to the density of the normal distribution with mean 0.
+fn density(deviation: f64, variance: f64) -> f64 {
+    (-0.5 * deviation * deviation / variance).exp()
 }
 
 /// Learns the relation between declared run times and work for each queue.
@@ -123,11 +213,8 @@
     /// Returns the predicted work of a task.
     pub fn predict_work(&self, queue: &str, declared: Duration) -> WorkEstimate {
         match self.by_queue.get(&queue.into()) {
-            None => WorkEstimate { median: declared, log_std_dev: INITIAL_LOG_STD_DEV },
-            Some(regression) => WorkEstimate {
-                median: Duration::from_secs_f64(regression.predict(ln_secs(declared)).exp()),
-                log_std_dev: regression.error_variance.sqrt(),
-            },
+            None => WorkEstimate::of_one_size(declared, INITIAL_LOG_STD_DEV),
+            Some(regression) => regression.predict(ln_secs(declared)),
         }
     }
 }
--- a/crates/dispatch/src/samples.rs
+++ b/crates/dispatch/src/samples.rs
@@ -89,6 +89,17 @@
 /// often large ones, and ended tasks more often short ones.
 const CURRENT_WINDOW: Duration = Duration::from_millis(120);
 
+/// Whether the recent tasks at an endpoint run as usual there.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EndpointCondition {
+    /// Too few recent tasks are known.
+    Unknown,
+    /// The median of the recent tasks is as usual.
+    Normal,
+    /// The recent tasks take much longer than usual.
+    Disturbed,
+}
+
 /// Estimates the run times at an endpoint relative to the expected work.
 ///
 /// The mean over many tasks gives the baseline. An endpoint counts as disturbed while its current
@@ -149,12 +160,31 @@
     /// job.
     pub fn current(&self, now: Duration, running: Vec<f64>) -> f64 {
         let baseline = self.baseline();
+        match self.current_median(now, running) {
+            Some(current) if current > DISTURBED_RATIO * baseline => current,
+            Some(_) | None => baseline,
+        }
+    }
+
+    /// Returns whether the current tasks run as is usual at the endpoint. `running` holds the
+    /// projected slowness of each running job.
+    pub fn condition(&self, now: Duration, running: Vec<f64>) -> EndpointCondition {
+        match self.current_median(now, running) {
+            None => EndpointCondition::Unknown,
+            Some(current) if current > DISTURBED_RATIO * self.baseline() => {
+                EndpointCondition::Disturbed
+            }
+            Some(_) => EndpointCondition::Normal,
+        }
+    }
+
+    /// Returns the median slowness of the current tasks, or `None` if they are too few.
+    fn current_median(&self, now: Duration, running: Vec<f64>) -> Option<f64> {
         let mut ratios = running;
         ratios.extend(self.samples.within(now, CURRENT_WINDOW));
         if ratios.len() < MIN_CURRENT_SAMPLES {
-            return baseline;
+            return None;
         }
-        let current = median(ratios).unwrap_or(baseline);
-        if current > DISTURBED_RATIO * baseline { current } else { baseline }
+        median(ratios)
     }
 }
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -367,7 +367,10 @@
                 }
                 self.place_task(now, &name.request, index);
             }
-            RunStatus::Slow(left) => self.consider_move(now, name, index, agent, left, None),
+            RunStatus::Slow(left) => {
+                let work = self.confirmed_work(now, name, index, left);
+                self.consider_move(now, name, index, agent, left, work);
+            }
             RunStatus::Overrun(left) => {
                 let work = self.observed_work(now, name, index, left);
                 self.consider_move(now, name, index, agent, left, work);
--- a/crates/dispatch/src/scheduler/migration.rs
+++ b/crates/dispatch/src/scheduler/migration.rs
@@ -41,6 +41,38 @@
         ))
     }
 
+    /// Returns the work of a slow task that needs `left` more time if an earlier run at another
+    /// endpoint was slow as well, so that the task and not an endpoint is the likely cause.
+    pub(super) fn confirmed_work(
+        &mut self,
+        now: Duration,
+        name: &TaskName,
+        index: usize,
+        left: Duration,
+    ) -> Option<Duration> {
+        let work = self.observed_work(now, name, index, left)?;
+        let task = &mut self.jobs.get_mut(&name.request)?.tasks[index];
+        match task.slow_run {
+            Some((run, earlier)) if run != task.last_run => {
+                (work * 2 >= earlier).then(|| work.min(earlier))
+            }
+            _ => {
+                task.slow_run = Some((task.last_run, work));
+                None
+            }
+        }
+    }
+
+    /// Ends a job with a task that its caller will not wait for, and learns from the task's work, of
+    /// which no end will tell.
+    fn end_overrun(&mut self, now: Duration, name: &TaskName, work: Duration) {
+        if let Some(job) = self.jobs.get(&name.request) {
+            let declared_run_time = job.spec.steps[usize::from(name.step)].declared_run_time;
+            self.predictor.observe(&job.spec.queue, declared_run_time, work);
+        }
+        self.end_unserved(now, &name.request);
+    }
+
     /// Stops a task that needs `left` more time if it should move to another endpoint.
     ///
     /// `work` is the observed work of a task that is more work than expected, and `None` for a task
@@ -67,8 +99,8 @@
             EndpointQuery { observed_work: work, avoid: Some(agent), excluded_vms, ..initial };
         let selected = self.select_endpoint(now, job, query);
         let Some(selected) = selected.filter(|selected| selected.agent != *agent) else {
-            if misses_deadline && work.is_some() {
-                self.end_unserved(now, &name.request);
+            if let Some(work) = work.filter(|_| misses_deadline) {
+                self.end_overrun(now, name, work);
             }
             return;
         };
@@ -81,8 +113,8 @@
         let saves_answer = end_here > deadline && end_elsewhere < deadline;
         let is_much_earlier = end_here > objective && (end_elsewhere - now) * 2 < left;
         if !(saves_objective || saves_answer || is_much_earlier) {
-            if misses_deadline && work.is_some() {
-                self.end_unserved(now, &name.request);
+            if let Some(work) = work.filter(|_| misses_deadline) {
+                self.end_overrun(now, name, work);
             }
             return;
         }
--- a/crates/dispatch/src/scheduler/selection.rs
+++ b/crates/dispatch/src/scheduler/selection.rs
@@ -84,7 +84,7 @@
         let spec = &job.spec;
         let predicted = self.predictor.predict_work(&spec.queue, step.declared_run_time);
         let work = match observed_work {
-            Some(median) => WorkEstimate { median, log_std_dev: OBSERVED_WORK_LOG_STD_DEV },
+            Some(median) => WorkEstimate::of_one_size(median, OBSERVED_WORK_LOG_STD_DEV),
             None => predicted,
         };
         let request = PlacementRequest {
--- a/crates/dispatch/src/scheduler/task.rs
+++ b/crates/dispatch/src/scheduler/task.rs
@@ -44,6 +44,8 @@
     pub(super) avoid: Option<AgentId>,
     /// Whether any run of the task may have started.
     pub(super) may_have_started: bool,
+    /// Number of a run that was reported as slow, and the work that its progress showed.
+    pub(super) slow_run: Option<(u32, Duration)>,
 }
 
 impl Task {
@@ -57,6 +59,7 @@
             excluded_vms: Vec::new(),
             avoid: None,
             may_have_started: false,
+            slow_run: None,
         }
     }
 
