--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -5,6 +5,7 @@
 //! that do not fit at once wait in the order of their latest useful start, and return to their
 //! entry when that moment has passed.
 
+mod evacuation;
 mod held_task;
 mod incarnation;
 mod listing;
@@ -25,6 +26,7 @@
 use crate::samples::{Samples, SlownessEstimator};
 use crate::scheduler::{CrashRole, RunStatus, TaskEvent};
 
+use evacuation::ColdStart;
 use held_task::{HeldTask, Phase};
 
 pub use report::{
@@ -98,6 +100,12 @@
     is_listening: bool,
     /// Whether the agent is stopping and accepts no tasks.
     is_draining: bool,
+    /// Whether the data centre is evacuated, so that no task may start.
+    is_evacuated: bool,
+    /// Time until which the endpoint is slow after its start, by its most recent report.
+    cold_until: Duration,
+    /// Limit of the endpoint's use after an evacuation, if it was cold when the evacuation ended.
+    cold_start: Option<ColdStart>,
     actions: Vec<ExecutorAction>,
 }
 
@@ -120,6 +128,9 @@
             crash_suspects: VecDeque::new(),
             is_listening: true,
             is_draining: false,
+            is_evacuated: false,
+            cold_until: Duration::ZERO,
+            cold_start: None,
             actions: Vec::new(),
         }
     }
@@ -213,6 +224,7 @@
             return;
         }
         let is_refused = self.is_draining
+            || self.is_evacuated
             || self.held.contains(&name)
             || self.endpoint.as_ref().is_none_or(|endpoint| {
                 endpoint.draining || !endpoint.capacity.can_fit(order.resources)
--- a/crates/dispatch/src/executor/incarnation.rs
+++ b/crates/dispatch/src/executor/incarnation.rs
@@ -49,6 +49,7 @@
             self.on_new_incarnation();
         }
         let draining = report.draining;
+        self.cold_until = now + report.cold_remaining;
         self.endpoint = Some(report);
         if draining {
             self.return_queued();
--- a/crates/dispatch/src/executor/report.rs
+++ b/crates/dispatch/src/executor/report.rs
@@ -25,6 +25,8 @@
     pub rack: CompactString,
     /// Whether the endpoint is about to leave and accepts no new tasks.
     pub draining: bool,
+    /// Time for which the endpoint is still slow, because it has just started.
+    pub cold_remaining: Duration,
     /// Number that rises with each report of an incarnation.
     pub sequence: u64,
 }
--- a/crates/dispatch/src/executor/start.rs
+++ b/crates/dispatch/src/executor/start.rs
@@ -44,7 +44,7 @@
             return;
         }
         queued.sort();
-        let mut free = self.unreserved();
+        let mut free = self.offered(now);
         for (_, _, name) in queued {
             self.try_start(now, &name, &mut free);
         }
@@ -62,13 +62,15 @@
             && accepts_tasks
             && self.unknown_runs.is_empty()
             && !self.is_draining
+            && !self.is_evacuated
     }
 
     fn try_start(&mut self, now: Duration, name: &TaskName, free: &mut FreeResources) {
         let Some(held) = self.held.get(name) else {
             return;
         };
-        if !free.fits(held.resources) || self.is_step_limit_reached(name, held.max_per_endpoint) {
+        let fits = free.fits(held.resources) || self.is_idle_cold_start(now);
+        if !fits || self.is_step_limit_reached(name, held.max_per_endpoint) {
             return;
         }
         if !self.has_lease(now, &held.entry) {
@@ -146,6 +148,7 @@
     /// Sends another copy of an unanswered start. The endpoint accepts each run only once.
     fn resend_start(&mut self, now: Duration, name: &TaskName) {
         let is_silent = !self.is_listening
+            || self.is_evacuated
             || self.last_listing_at.is_none_or(|at| now >= at + RESEND_LISTING_AGE);
         let Some(held) = self.held.get_mut(name) else {
             return;
--- a/crates/dispatch/src/executor/status.rs
+++ b/crates/dispatch/src/executor/status.rs
@@ -21,7 +21,7 @@
         let Some(endpoint) = &self.endpoint else {
             return EndpointStatus::default();
         };
-        let free = self.unreserved();
+        let free = self.offered(now);
         let slowness = self.slowness(now);
         let (failure_rate, sample_count) = self.failures.mean(now);
         EndpointStatus {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 //!   next.
 
 mod attachment;
+mod evacuation;
 mod executor;
 mod id;
 mod job;
@@ -30,6 +31,9 @@
 mod scheduler;
 
 pub use attachment::{KnownEntry, MAX_ENTRIES_PER_AGENT, select_entries};
+pub use evacuation::{
+    EvacuationFeed, EvacuationState, EvacuationVersion, Evacuations, FullEvacuationRead,
+};
 pub use executor::{
     EndpointReport, Executor, ExecutorAction, ExecutorSettings, Listing, ReceivedOrder, RunOutcome,
     StartOutcome, StartRefusal, TaskEnd, TaskProgress,
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -7,6 +7,7 @@
 mod decision;
 mod deferral;
 mod endpoint;
+mod evacuation;
 mod message;
 mod migration;
 mod selection;
@@ -14,7 +15,7 @@
 
 use std::time::Duration;
 
-use cowslipwing_types::SortedMap;
+use cowslipwing_types::{Site, SortedMap};
 
 use crate::id::{AgentId, RequestId, TaskName, TaskRun};
 use crate::job::{Answer, GiveUpReason, JobSpec, RefusalReason};
@@ -72,6 +73,8 @@
     warm_up: WarmUp,
     predictor: Predictor,
     containment: Containment,
+    /// Evacuated data centres.
+    evacuated_sites: Vec<Site>,
     actions: Vec<Action>,
 }
 
@@ -86,6 +89,7 @@
             warm_up: WarmUp::default(),
             predictor: Predictor::default(),
             containment: Containment::default(),
+            evacuated_sites: Vec::new(),
             actions: Vec::new(),
         }
     }
@@ -182,9 +186,9 @@
     fn load(&self, service: &str) -> f64 {
         let mut capacity = 0.0;
         let mut free = 0.0;
-        for endpoint in
-            self.endpoints.values().filter(|endpoint| endpoint.status.service == service)
-        {
+        let is_counted =
+            |endpoint: &&Endpoint| endpoint.status.service == service && !endpoint.evacuated;
+        for endpoint in self.endpoints.values().filter(is_counted) {
             capacity += f64::from(endpoint.status.capacity.cpu_millis);
             free += f64::from(endpoint.free().cpu_millis);
             free -= f64::from(endpoint.status.queued.total());
--- a/crates/dispatch/src/scheduler/agents.rs
+++ b/crates/dispatch/src/scheduler/agents.rs
@@ -6,7 +6,7 @@
 use crate::placement::EndpointStatus;
 
 use super::endpoint::Endpoint;
-use super::{RunStatus, Scheduler, TaskEvent};
+use super::{RunStatus, Scheduler, TaskEvent, evacuation};
 
 impl Scheduler {
     /// Handles an agent that has connected and holds the runs `held` of this entry.
@@ -84,6 +84,8 @@
         };
         endpoint.heard_at = now;
         endpoint.on_status(status);
+        endpoint.evacuated =
+            evacuation::is_evacuated(&self.evacuated_sites, endpoint.status.site.as_str());
         self.retry_deferred(now);
         self.place_waiting(now);
     }
--- a/crates/dispatch/src/scheduler/containment.rs
+++ b/crates/dispatch/src/scheduler/containment.rs
@@ -14,6 +14,7 @@
 
 use crate::id::AgentId;
 
+use super::endpoint::Endpoint;
 use super::{Action, Decision, Scheduler};
 
 /// Time without a suspected crash after which a queue is no longer contained.
@@ -27,6 +28,7 @@
 /// A queue whose tasks are confined.
 struct ContainedQueue {
     until: Duration,
+    service: CompactString,
     /// Names of the VMs that its tasks may use, sorted.
     vms: Vec<CompactString>,
 }
@@ -83,16 +85,28 @@
             self.actions.push(Action::Record(decision));
         }
         let until = now + CONTAINMENT_PERIOD;
-        self.containment.queues.insert(queue.clone(), ContainedQueue { until, vms });
+        self.containment
+            .queues
+            .insert(queue.clone(), ContainedQueue { until, service: service.into(), vms });
+    }
+
+    /// Chooses the endpoints of the contained queues again, after the evacuated data centres have
+    /// changed.
+    pub(super) fn update_contained_vms(&mut self) {
+        let mut queues = std::mem::take(&mut self.containment.queues);
+        for (queue, contained) in queues.iter_mut() {
+            contained.vms = self.vms_for_containment(queue, &contained.service);
+        }
+        self.containment.queues = queues;
     }
 
     /// Returns the share of a service's endpoints that take no tasks.
     fn down_share(&self, now: Duration, service: &str) -> f64 {
         let suspect_after = self.settings.suspect_after;
         let (mut down, mut known) = (0, 0);
-        for endpoint in
-            self.endpoints.values().filter(|endpoint| endpoint.status.service == service)
-        {
+        let is_counted =
+            |endpoint: &&Endpoint| endpoint.status.service == service && !endpoint.evacuated;
+        for endpoint in self.endpoints.values().filter(is_counted) {
             known += 1;
             down += u32::from(!endpoint.is_usable(now, suspect_after));
         }
@@ -102,8 +116,10 @@
     /// Returns the names of the VMs for a contained queue. Rendezvous hashing gives all entries
     /// similar choices, whichever endpoints are down.
     fn vms_for_containment(&self, queue: &str, service: &str) -> Vec<CompactString> {
-        let in_service =
-            self.endpoints.iter().filter(|(_, endpoint)| endpoint.status.service == service);
+        let in_service = self
+            .endpoints
+            .iter()
+            .filter(|(_, endpoint)| endpoint.status.service == service && !endpoint.evacuated);
         let weight = |vm: &str| stable_hash(queue.bytes().chain(vm.bytes()));
         let mut ranked: Vec<(Reverse<u64>, CompactString)> = in_service
             .map(|(agent, _)| agent.vm_name())
--- a/crates/dispatch/src/scheduler/crashes.rs
+++ b/crates/dispatch/src/scheduler/crashes.rs
@@ -68,6 +68,9 @@
             .endpoints
             .iter()
             .filter(|(_, endpoint)| endpoint.status.service == job.spec.service);
+        if self.fits_only_evacuated(job, index) {
+            return false;
+        }
         excluded_vms.is_empty() || in_service.map(|(agent, _)| agent).any(is_allowed)
     }
 
--- a/crates/dispatch/src/scheduler/endpoint.rs
+++ b/crates/dispatch/src/scheduler/endpoint.rs
@@ -19,6 +19,8 @@
     pub(super) heard_at: Duration,
     /// Whether the agent has an open stream.
     attached: bool,
+    /// Whether the endpoint's data centre is evacuated.
+    pub(super) evacuated: bool,
     /// Number of orders sent on the current stream.
     orders_sent: u64,
     /// Number and resources of each order that the status does not include yet, oldest first.
@@ -32,6 +34,7 @@
             admission_reserved: FreeResources::default(),
             heard_at: now,
             attached: false,
+            evacuated: false,
             orders_sent: 0,
             orders_in_flight: VecDeque::new(),
         }
@@ -76,7 +79,10 @@
     }
 
     pub(super) fn is_usable(&self, now: Duration, suspect_after: Duration) -> bool {
-        self.attached && self.status.usable && now < self.heard_at + suspect_after
+        self.attached
+            && self.status.usable
+            && !self.evacuated
+            && now < self.heard_at + suspect_after
     }
 
     /// Returns whether all leases have expired, so that no run sent to the agent can continue.
--- a/crates/dispatch/src/scheduler/selection.rs
+++ b/crates/dispatch/src/scheduler/selection.rs
@@ -78,7 +78,7 @@
         let EndpointQuery { step, rotation, observed_work, avoid, excluded_vms, tasks_per_agent } =
             query;
         let suspect_after = self.settings.suspect_after;
-        let count = self.endpoints.len();
+        let count = self.endpoints.values().filter(|endpoint| !endpoint.evacuated).count();
         let stride = count.div_ceil(MAX_CANDIDATES).max(1);
         let max_failure_rate = self.max_failure_rate(now);
         let spec = &job.spec;
@@ -96,7 +96,8 @@
             caller_time_left: job.deadline.saturating_sub(now),
         };
         let mut best: Option<(f64, &AgentId, Forecast)> = None;
-        for (position, (agent, endpoint)) in self.endpoints.iter().enumerate() {
+        let candidates = self.endpoints.iter().filter(|(_, endpoint)| !endpoint.evacuated);
+        for (position, (agent, endpoint)) in candidates.enumerate() {
             if position % stride != rotation % stride || !endpoint.is_usable(now, suspect_after) {
                 continue;
             }
--- a/crates/dispatch/tests/testsuite/executor.rs
+++ b/crates/dispatch/tests/testsuite/executor.rs
@@ -42,6 +42,7 @@
         kind: "a".into(),
         rack: "r1".into(),
         draining: false,
+        cold_remaining: Duration::ZERO,
         sequence,
     }
 }
--- a/crates/dispatch/tests/testsuite/fleet.rs
+++ b/crates/dispatch/tests/testsuite/fleet.rs
@@ -70,6 +70,7 @@
             kind: "a".into(),
             rack: "r1".into(),
             draining: false,
+            cold_remaining: Duration::ZERO,
             sequence: 1,
         }
     }
--- a/crates/dispatch/tests/testsuite/simulation.rs
+++ b/crates/dispatch/tests/testsuite/simulation.rs
@@ -183,6 +183,7 @@
             kind: "a".into(),
             rack: "r1".into(),
             draining: false,
+            cold_remaining: Duration::ZERO,
             sequence: 1,
         };
         self.executor.on_report(self.now, report);
