Evacuate data centres by the operators' records

Entries follow the keys evacuate/NAME and pass the states to agents and to other entries in frames; agents pass them to all their entries. Reads of the store return the offsets of records, which are the versions of the states.

--- a/crates/dispatch/src/evacuation.rs
+++ b/crates/dispatch/src/evacuation.rs
@@ -4,8 +4,12 @@
 //! processes therefore pass on what they know. The offset of the record in its topic is the version
 //! of the state, so that a state that arrives late never replaces a newer one.
 
+mod notices;
+
 use cowslipwing_types::{Site, SortedMap};
 
+pub use notices::{EvacuationNotice, EvacuationNotices};
+
 /// Maximum number of data centres whose state is kept. Operators may write keys for any name, and
 /// each frame that announces states holds all of them.
 const MAX_STATES: usize = 256;
@@ -59,6 +63,11 @@
     /// Version of the state of each data centre, and whether it is evacuated. The order of these
     /// pairs decides which of two states is kept.
     states: SortedMap<Site, (EvacuationVersion, bool)>,
+    /// Version up to which the most recent full read rules out evacuations that it did not contain.
+    /// Another process may still report one of them.
+    absent_up_to: Option<EvacuationVersion>,
+    /// Data centres about which the most recent full read tells nothing.
+    unreadable: Vec<Site>,
     /// Number of changes.
     revision: u64,
 }
@@ -70,7 +79,7 @@
         I: IntoIterator<Item = EvacuationState>,
     {
         let mut changed: Vec<EvacuationState> =
-            states.into_iter().filter(|state| self.merge_one(state)).collect();
+            states.into_iter().filter_map(|state| self.merge_one(state)).collect();
         // A state that has no room is not a change.
         changed.retain(|state| self.states.contains(&state.site));
         if !changed.is_empty() {
@@ -79,14 +88,23 @@
         changed
     }
 
-    fn merge_one(&mut self, state: &EvacuationState) -> bool {
-        let value = (state.version, state.active);
-        if self.states.get(&state.site).is_some_and(|known| *known >= value) {
-            return false;
+    /// Merges a state and returns the state that results, if it is a change.
+    fn merge_one(&mut self, state: EvacuationState) -> Option<EvacuationState> {
+        let known = self.states.get(&state.site).copied();
+        let mut value = (state.version, state.active);
+        if known.is_some_and(|known| known >= value) {
+            return None;
+        }
+        if let (None, Some(version)) = (known, self.absent_up_to)
+            && !self.unreadable.contains(&state.site)
+        {
+            // The sender has not heard of the removal and learns of it from the resulting state.
+            value = value.max((version, false));
         }
+        let (version, active) = value;
         self.states.insert(state.site.clone(), value);
         self.drop_surplus(&state.site);
-        true
+        Some(EvacuationState { site: state.site, version, active })
     }
 
     /// Drops the oldest inactive state if there are too many, or the latest addition if all others
@@ -104,19 +122,25 @@
     /// Merges a read of the newest record of each key. A key that is missing was removed before the
     /// end of the read. Returns the states that changed.
     pub fn merge_full_read(&mut self, read: FullEvacuationRead) -> Vec<EvacuationState> {
-        let FullEvacuationRead { mut states, unreadable, end } = read;
+        let FullEvacuationRead { mut states, mut unreadable, end } = read;
         // The record that is written next has the offset `end` and is newer than the removal.
-        if let Some(version) = end.checked_sub(1).map(EvacuationVersion) {
+        let absent_up_to = end.checked_sub(1).map(EvacuationVersion);
+        if let Some(version) = absent_up_to {
             let is_present = |site: &Site| {
                 unreadable.contains(site) || states.iter().any(|state| state.site == *site)
             };
-            let missing: Vec<Site> =
-                self.states.keys().filter(|site| !is_present(site)).cloned().collect();
-            let active = missing.into_iter().filter(|site| self.is_active(site.as_str()));
-            let removed = active.map(|site| EvacuationState { site, version, active: false });
-            states.extend(removed.collect::<Vec<_>>());
+            let missing = self.active_sites().into_iter().filter(|site| !is_present(site));
+            let removed: Vec<EvacuationState> =
+                missing.map(|site| EvacuationState { site, version, active: false }).collect();
+            states.extend(removed);
         }
-        self.merge(states)
+        let changed = self.merge(states);
+        if absent_up_to >= self.absent_up_to {
+            unreadable.truncate(MAX_STATES);
+            self.absent_up_to = absent_up_to;
+            self.unreadable = unreadable;
+        }
+        changed
     }
 
     /// Returns whether a data centre is evacuated.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -32,7 +32,8 @@
 
 pub use attachment::{KnownEntry, MAX_ENTRIES_PER_AGENT, select_entries};
 pub use evacuation::{
-    EvacuationFeed, EvacuationState, EvacuationVersion, Evacuations, FullEvacuationRead,
+    EvacuationFeed, EvacuationNotice, EvacuationNotices, EvacuationState, EvacuationVersion,
+    Evacuations, FullEvacuationRead,
 };
 pub use executor::{
     EndpointReport, Executor, ExecutorAction, ExecutorSettings, Listing, ReceivedOrder, RunOutcome,
--- a/crates/dispatch/tests/testsuite/main.rs
+++ b/crates/dispatch/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod attachment;
 mod crashes;
 mod deferral;
+mod evacuation;
 mod executor;
 mod fleet;
 mod placement;
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -1,5 +1,6 @@
 //! The agent's event loop, which passes events to the executor and executes the resulting actions.
 
+mod evacuation;
 mod frames;
 
 use std::net::SocketAddr;
@@ -8,8 +9,9 @@
 
 use compact_str::CompactString;
 use cowslipwing_dispatch::{
-    AgentId, EndpointActivity, EndpointReport, EntryId, Executor, ExecutorAction, ExecutorSettings,
-    Listing, ReceivedOrder, RunStatus, StartOutcome, TaskEvent, TaskRun,
+    AgentId, EndpointActivity, EndpointReport, EntryId, EvacuationFeed, Evacuations, Executor,
+    ExecutorAction, ExecutorSettings, Listing, ReceivedOrder, RunStatus, StartOutcome, TaskEvent,
+    TaskRun,
 };
 use cowslipwing_platform::EndpointError;
 use cowslipwing_proto::{self as proto, AgentFrame, AgentHello, EntryFrame};
@@ -19,7 +21,9 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::endpoint_calls::EndpointCalls;
-use crate::convert::{event_to_proto, millis, order_from_proto, status_to_proto};
+use crate::convert::{
+    evacuation_to_proto, event_to_proto, millis, order_from_proto, status_to_proto,
+};
 use crate::members::{Members, parse_addresses};
 use crate::metrics::Metrics;
 use crate::wire_ids::{run_from_proto, run_to_proto};
@@ -101,6 +105,7 @@
     sent_at: Duration,
     /// Whether the status has changed since it was last sent.
     status_changed: bool,
+    evacuation_feed: EvacuationFeed,
     /// Time since which the entry is no longer selected. The stream takes no new orders and is
     /// closed once no task of the entry is held.
     retiring_since: Option<Duration>,
@@ -125,6 +130,10 @@
     reports: watch::Sender<Option<EndpointReport>>,
     calls: EndpointCalls,
     executor: Executor,
+    /// Data centre of this VM.
+    site: CompactString,
+    /// Known evacuations of data centres.
+    evacuations: Evacuations,
     /// Streams to entries. A stream that has ended stays here with a closed sender.
     streams: SortedMap<EntryId, EntryStream>,
     /// Task events for entries without an open stream.
@@ -145,11 +154,12 @@
         handles: SharedHandles,
         calls: EndpointCalls,
     ) -> Self {
+        let site: CompactString = config.site.as_str().into();
         let settings = ExecutorSettings {
             entry_lease: ENTRY_LEASE,
             endpoint_lease: ENDPOINT_LEASE.min(config.longest_lease),
             longest_lease: config.longest_lease,
-            site: config.site.as_str().into(),
+            site: site.clone(),
         };
         Self {
             id,
@@ -159,6 +169,8 @@
             reports: handles.reports,
             calls,
             executor: Executor::new(settings),
+            site,
+            evacuations: Evacuations::default(),
             streams: SortedMap::new(),
             unsent_events: SortedMap::new(),
             listing_in_flight: false,
@@ -311,6 +323,9 @@
         log::info!("agent: event=attached entry={entry} address={address}");
         self.remove_previous_incarnations(now, &entry, address);
         self.members.add(parse_addresses(&first.entries));
+        self.learn_evacuations(now, &entry, &first.evacuations);
+        let mut evacuation_feed = EvacuationFeed::default();
+        let announced = evacuation_feed.take(&self.evacuations);
         // The entry sends orders on this stream only after it has received this hello.
         let hello = AgentHello {
             agent: self.id.to_string(),
@@ -321,6 +336,7 @@
             clock_ms: millis(now),
             status: Some(status_to_proto(&self.executor.status(now))),
             events: self.unsent_events.remove(&entry).unwrap_or_default(),
+            evacuations: announced.iter().map(evacuation_to_proto).collect(),
         };
         // If the stream has already ended, a `StreamClosed` event follows.
         let _ = tx.send(frame);
@@ -331,6 +347,7 @@
             events: Vec::new(),
             sent_at: now,
             status_changed: false,
+            evacuation_feed,
             retiring_since: None,
             close,
         };
@@ -373,6 +390,7 @@
     }
 
     fn on_frame(&mut self, now: Duration, entry: &EntryId, frame: EntryFrame) {
+        self.learn_evacuations(now, entry, &frame.evacuations);
         if frame.heard_ms > 0 {
             self.executor.on_entry_heartbeat(entry, Duration::from_millis(frame.heard_ms));
         }
@@ -446,6 +464,9 @@
             }
             status => {
                 self.metrics.count("task_not_done");
+                if status == RunStatus::NotStarted && self.executor.is_evacuated() {
+                    self.metrics.count("evacuation_task_returned");
+                }
                 if matches!(status, RunStatus::Crashed(_)) {
                     self.metrics.count("task_lost_in_crash");
                 }
--- a/crates/node/src/agent/actor/frames.rs
+++ b/crates/node/src/agent/actor/frames.rs
@@ -5,7 +5,7 @@
 use cowslipwing_proto::{self as proto, AgentFrame};
 
 use super::Actor;
-use crate::convert::{millis, status_to_proto};
+use crate::convert::{evacuation_to_proto, millis, status_to_proto};
 use crate::{HEARTBEAT_INTERVAL, HEARTBEAT_INTERVAL_PER_STREAM};
 
 /// Minimum interval between status updates without task events, for each open stream. Entries see
@@ -19,7 +19,7 @@
 const STREAM_RETIREMENT_DELAY: Duration = Duration::from_secs(1);
 
 impl Actor {
-    /// Sends task events at once, and status updates and heartbeats at intervals.
+    /// Sends task events and changed evacuations at once, and status updates and heartbeats at intervals.
     pub(super) fn send_frames(&mut self) {
         let now = self.clock.since_boot();
         let open_streams = self.streams.values().filter(|stream| !stream.tx.is_closed()).count();
@@ -33,12 +33,14 @@
                 IDLE_HEARTBEAT_INTERVAL
             };
             let is_due = !stream.events.is_empty()
+                || stream.evacuation_feed.is_due(&self.evacuations)
                 || age >= heartbeat_interval
                 || (stream.status_changed && age >= intervals.status);
             if !is_due || stream.tx.is_closed() {
                 continue;
             }
             let status = status.get_or_insert_with(|| status_to_proto(&self.executor.status(now)));
+            let announced = stream.evacuation_feed.take(&self.evacuations);
             let frame = AgentFrame {
                 hello: None,
                 clock_ms: millis(now),
@@ -48,6 +50,7 @@
                     ..status.clone()
                 }),
                 events: std::mem::take(&mut stream.events),
+                evacuations: announced.iter().map(evacuation_to_proto).collect(),
             };
             // If the stream has already ended, a `StreamClosed` event follows.
             let _ = stream.tx.send(frame);
--- a/crates/node/src/convert.rs
+++ b/crates/node/src/convert.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use cowslipwing_dispatch::{
-    CrashRole, EndpointStatus, FreeResources, QueuedCpu, Resources, RunStatus, TaskEvent, TaskOrder,
+    CrashRole, EndpointStatus, EvacuationState, EvacuationVersion, FreeResources, QueuedCpu,
+    Resources, RunStatus, TaskEvent, TaskOrder,
 };
 use cowslipwing_proto as proto;
 
@@ -154,6 +155,23 @@
     }
 }
 
+pub(crate) fn evacuation_to_proto(state: &EvacuationState) -> proto::EvacuationState {
+    proto::EvacuationState {
+        site: state.site.to_string(),
+        version: state.version.0,
+        active: state.active,
+    }
+}
+
+/// Converts a state from its message; returns `None` if it has no valid data centre.
+pub(crate) fn evacuation_from_proto(wire: &proto::EvacuationState) -> Option<EvacuationState> {
+    Some(EvacuationState {
+        site: wire.site.parse().ok()?,
+        version: EvacuationVersion(wire.version),
+        active: wire.active,
+    })
+}
+
 fn queued_from_proto(wire: &[u32]) -> QueuedCpu {
     let mut queued = QueuedCpu::default();
     for (class, cpu_millis) in queued.classes.iter_mut().zip(wire) {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -1,6 +1,7 @@
 //! The entry, which accepts callers' requests, places their tasks and returns the answers.
 
 mod callers;
+mod evacuation;
 mod follow;
 mod shared;
 mod streams;
@@ -71,6 +72,7 @@
             follow::follow_configuration(shared.clone()).boxed(),
             follow::announce_and_follow_entries(shared.clone()).boxed(),
             follow::poll_peers(shared.clone()).boxed(),
+            evacuation::check_sites(shared.clone()).boxed(),
             tick(shared.clone()).boxed(),
         ];
         if let Some(port) = common.metrics_port {
--- a/crates/node/src/entry/follow.rs
+++ b/crates/node/src/entry/follow.rs
@@ -1,10 +1,10 @@
-//! Follows the configuration and the list of entries in the store. If the store cannot be read,
+//! Follows the configuration, the evacuations and the list of entries in the store. If the store cannot be read,
 //! asks other entries instead.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use cowslipwing_platform::{KeyedRecord, ReadResult, StoreError, Topic};
+use cowslipwing_platform::{KeyedRecord, ReadResult, StoreError, StoredRecord, Topic};
 use cowslipwing_proto::ExchangeRequest;
 use cowslipwing_proto::dispatch_client::DispatchClient;
 use tokio::time::timeout;
@@ -25,11 +25,40 @@
 /// Timeout of a request to another entry.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Follows the configuration until the entry stops.
+/// The result of a read of a topic.
+pub(super) enum TopicRead {
+    /// The newest record of each key.
+    Newest {
+        /// The records.
+        records: Vec<StoredRecord>,
+        /// Offset at which the topic ended.
+        end: u64,
+    },
+    /// The records since the previous read.
+    Later {
+        /// The records.
+        records: Vec<StoredRecord>,
+    },
+}
+
+impl TopicRead {
+    fn into_records(self) -> Vec<StoredRecord> {
+        match self {
+            Self::Newest { records, .. } | Self::Later { records } => records,
+        }
+    }
+}
+
+/// Follows the configuration and the evacuations until the entry stops.
 pub(super) async fn follow_configuration(shared: Arc<Shared>) {
-    follow(&shared, Topic::Configuration, CONFIG_READ_WAIT, |record| {
-        if record.key == Topic::CONFIGURATION_KEY && !record.value.is_empty() {
-            shared.apply_config(record.value, "store");
+    follow(&shared, Topic::Configuration, CONFIG_READ_WAIT, |read| {
+        // No job is admitted without a configuration, so that none is placed before the evacuations
+        // are known.
+        shared.read_evacuations(&read);
+        for record in read.into_records() {
+            if record.key == Topic::CONFIGURATION_KEY && !record.value.is_empty() {
+                shared.apply_config(record.value, "store");
+            }
         }
     })
     .await;
@@ -46,22 +75,24 @@
         shared.record_store_result("announce", Some(error));
         tokio::time::sleep(STORE_RETRY_INTERVAL).await;
     }
-    follow(&shared, Topic::Entries, ENTRIES_READ_WAIT, |record| {
-        let text = String::from_utf8_lossy(&record.value);
-        for address in shared.members.add(parse_addresses([text])) {
-            log::info!("entry: event=entry-known address={address} source=store");
+    follow(&shared, Topic::Entries, ENTRIES_READ_WAIT, |read| {
+        for record in read.into_records() {
+            let text = String::from_utf8_lossy(&record.value);
+            for address in shared.members.add(parse_addresses([text])) {
+                log::info!("entry: event=entry-known address={address} source=store");
+            }
         }
     })
     .await;
 }
 
-async fn follow<F>(shared: &Shared, topic: Topic, wait: Duration, mut on_record: F)
+async fn follow<F>(shared: &Shared, topic: Topic, wait: Duration, mut on_read: F)
 where
-    F: FnMut(KeyedRecord),
+    F: FnMut(TopicRead),
 {
     let mut next_offset = None;
     loop {
-        let result = follow_once(shared, topic, wait, &mut next_offset, &mut on_record).await;
+        let result = follow_once(shared, topic, wait, &mut next_offset, &mut on_read).await;
         let failed = result.is_err();
         shared.record_store_result("read", result.err());
         if failed {
@@ -75,20 +106,20 @@
     topic: Topic,
     wait: Duration,
     next_offset: &mut Option<u64>,
-    on_record: &mut F,
+    on_read: &mut F,
 ) -> Result<(), StoreError>
 where
-    F: FnMut(KeyedRecord),
+    F: FnMut(TopicRead),
 {
     let Some(from) = *next_offset else {
         let (records, end) = shared.store.newest(topic).await?;
-        records.into_iter().for_each(on_record);
+        on_read(TopicRead::Newest { records, end });
         *next_offset = Some(end);
         return Ok(());
     };
     match shared.store.read(topic, from, wait).await? {
         ReadResult::Records { records, next: end, .. } => {
-            records.into_iter().for_each(on_record);
+            on_read(TopicRead::Later { records });
             *next_offset = Some(end);
         }
         ReadResult::Truncated => {
@@ -129,6 +160,7 @@
         address: shared.address.to_string(),
         config_version: shared.route_table().version(),
         entries: shared.members.list().iter().map(ToString::to_string).collect(),
+        evacuations: shared.evacuation_states(),
     };
     let exchange = async {
         let channel = endpoint.connect_timeout(PEER_TIMEOUT).connect().await.ok()?;
@@ -140,6 +172,7 @@
     };
     let reply = reply.into_inner();
     shared.members.add(parse_addresses(&reply.entries));
+    shared.learn_evacuations(&reply.evacuations, "peer");
     if !reply.config.is_empty() {
         shared.apply_config(reply.config.into(), "peer");
     }
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -7,13 +7,14 @@
 
 use bytes::Bytes;
 use cowslipwing_dispatch::{
-    Action, AgentId, Answer, Decision, EntryId, RequestId, RouteTable, Scheduler, SchedulerSettings,
+    Action, AgentId, Answer, Decision, EntryId, EvacuationNotices, Evacuations, RequestId,
+    RouteTable, Scheduler, SchedulerSettings,
 };
 use cowslipwing_platform::{StoreClient, decode_config};
 use cowslipwing_proto::EntryFrame;
 use cowslipwing_settings::PlatformConfig;
 use cowslipwing_types::{Clock, SortedMap, to_millis};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::convert::order_to_proto;
 use crate::members::Members;
@@ -62,6 +63,9 @@
     pub(super) requests_in_flight: Arc<AtomicUsize>,
     /// Time of the store's most recent answer; `None` after a failed call.
     pub(super) store_answered_at: Mutex<Option<Duration>>,
+    /// Known evacuations of data centres. The streams to agents are notified of changes.
+    pub(super) evacuations: watch::Sender<Evacuations>,
+    pub(super) evacuation_notices: Mutex<EvacuationNotices>,
     scheduler: Mutex<Scheduler>,
     streams: Mutex<SortedMap<AgentId, AgentStream>>,
     /// Channels to the callers that wait for each open job; several if a caller repeated its
@@ -70,7 +74,7 @@
     active_config: Mutex<ActiveConfig>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().expect("the locks on the entry's state are never poisoned")
 }
 
@@ -101,6 +105,8 @@
             members,
             requests_in_flight: Arc::new(AtomicUsize::new(0)),
             store_answered_at: Mutex::default(),
+            evacuations: watch::Sender::default(),
+            evacuation_notices: Mutex::default(),
             scheduler: Mutex::new(Scheduler::new(settings)),
             streams: Mutex::default(),
             waiters: Mutex::default(),
@@ -287,11 +293,13 @@
         lock(&self.store_answered_at).is_some()
     }
 
-    /// Returns the first frame of a stream, which names this entry and the known entries.
+    /// Returns the first frame of a stream, which names this entry, the known entries and the known
+    /// evacuations.
     pub(super) fn hello_frame(&self) -> EntryFrame {
         EntryFrame {
             entry: self.id.to_string(),
             entries: self.members.list().iter().map(ToString::to_string).collect(),
+            evacuations: self.evacuation_states(),
             ..EntryFrame::default()
         }
     }
--- a/crates/node/src/entry/streams.rs
+++ b/crates/node/src/entry/streams.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use cowslipwing_dispatch::{AgentId, TaskRun};
+use cowslipwing_dispatch::{AgentId, EvacuationFeed, TaskRun};
 use cowslipwing_proto::dispatch_server::{Dispatch, DispatchServer};
 use cowslipwing_proto::{AgentFrame, AgentHello, EntryFrame, ExchangeReply, ExchangeRequest};
 use futures::{Stream as FutureStream, StreamExt};
@@ -17,7 +17,7 @@
 
 use super::shared::{AgentStream, Shared};
 use crate::STREAM_TIMEOUT;
-use crate::convert::{event_from_proto, status_from_proto};
+use crate::convert::{evacuation_to_proto, event_from_proto, status_from_proto};
 use crate::members::parse_addresses;
 use crate::wire_ids::run_from_proto;
 
@@ -65,9 +65,11 @@
         for address in self.shared.members.add(addresses) {
             log::info!("entry: event=entry-known address={address} source=peer");
         }
+        self.shared.learn_evacuations(&req.evacuations, "peer");
         let config = self.shared.config_newer_than(req.config_version).unwrap_or_default();
         let entries = self.shared.members.list().iter().map(ToString::to_string).collect();
-        Ok(Response::new(ExchangeReply { config: config.to_vec(), entries }))
+        let evacuations = self.shared.evacuation_states();
+        Ok(Response::new(ExchangeReply { config: config.to_vec(), entries, evacuations }))
     }
 }
 
@@ -102,7 +104,8 @@
     Some((agent, first))
 }
 
-/// Sends heartbeats, with the list of entries when it has changed.
+/// Sends heartbeats, with the list of entries when it has changed. A change of the evacuations is
+/// sent at once.
 async fn send_heartbeats(
     shared: Arc<Shared>,
     agent: AgentId,
@@ -110,8 +113,12 @@
     stream_id: u64,
 ) {
     let mut changes = shared.members.changes();
+    let mut evacuations = shared.evacuations.subscribe();
+    let mut evacuation_feed = EvacuationFeed::default();
     loop {
-        tokio::time::sleep(shared.heartbeat_interval(&agent)).await;
+        let interval = shared.heartbeat_interval(&agent);
+        // A time-out is normal: no evacuation has changed within the interval.
+        let _ = timeout(interval, evacuations.changed()).await;
         let Some(heard_ms) = latest_heard_ms(&shared, &agent, stream_id) else {
             return;
         };
@@ -121,6 +128,8 @@
             changes.mark_unchanged();
             frame.entries = shared.hello_frame().entries;
         }
+        let announced = evacuation_feed.take(&evacuations.borrow_and_update());
+        frame.evacuations = announced.iter().map(evacuation_to_proto).collect();
         if tx.send(frame).is_err() {
             return;
         }
@@ -142,6 +151,7 @@
 
 impl AgentConnection {
     fn start(&self, tx: mpsc::UnboundedSender<EntryFrame>, mut first: AgentFrame) {
+        self.shared.learn_evacuations(&first.evacuations, self.agent.as_str());
         let hello: AgentHello = first.hello.take().unwrap_or_default();
         let held: Vec<TaskRun> = hello.held.iter().filter_map(run_from_proto).collect();
         log::info!("entry: event=attached agent={} held={}", self.agent, held.len());
@@ -160,6 +170,8 @@
     }
 
     fn on_frame(&self, frame: AgentFrame) {
+        // The tasks that the frame returns must not be sent to the same data centre again.
+        self.shared.learn_evacuations(&frame.evacuations, self.agent.as_str());
         {
             let mut streams = self.shared.streams();
             match streams.get_mut(&self.agent) {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -2,15 +2,18 @@
 
 use std::fmt::Write;
 use std::sync::Mutex;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use cowslipwing_types::to_millis;
+
 /// Upper bound of the first histogram bucket, in seconds.
 const FIRST_BUCKET_S: f64 = 0.005;
 /// Ratio of the upper bounds of two successive buckets.
@@ -18,16 +21,25 @@
 /// Number of buckets with an upper bound; the last bound is about 10 s.
 const BUCKET_COUNT: u16 = 12;
 
+const MILLIS_PER_SECOND: u64 = 1000;
+
 #[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
 struct Labels {
     event: String,
 }
 
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+struct SiteLabels {
+    site: String,
+}
+
 /// The metrics of a process.
 pub struct Metrics {
     registry: Mutex<Registry>,
     events: Family<Labels, Counter>,
     durations: Family<Labels, Histogram>,
+    /// For each evacuated data centre, the Unix time in seconds since when.
+    evacuations: Family<SiteLabels, Gauge>,
 }
 
 fn histogram() -> Histogram {
@@ -42,7 +54,13 @@
         let durations: Family<Labels, Histogram> = Family::new_with_constructor(histogram);
         registry.register("events", "Events by their name", events.clone());
         registry.register("seconds", "Times by what took them", durations.clone());
-        Self { registry: Mutex::new(registry), events, durations }
+        let evacuations: Family<SiteLabels, Gauge> = Family::default();
+        registry.register(
+            "evacuated_since_seconds",
+            "Unix time at which this process learned of the evacuation of a data centre in force",
+            evacuations.clone(),
+        );
+        Self { registry: Mutex::new(registry), events, durations, evacuations }
     }
 
     /// Increments the counter of an event.
@@ -56,6 +74,17 @@
         histogram.observe(duration.as_secs_f64());
     }
 
+    /// Records whether a data centre is evacuated, as of `wall`. The gauge exists while it is.
+    pub(crate) fn set_evacuation(&self, site: &str, active: bool, wall: SystemTime) {
+        let labels = SiteLabels { site: site.to_owned() };
+        if !active {
+            self.evacuations.remove(&labels);
+        } else if self.evacuations.get(&labels).is_none() {
+            let seconds = to_millis(wall) / MILLIS_PER_SECOND;
+            self.evacuations.get_or_create(&labels).set(i64::try_from(seconds).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut text = String::new();
