Bound the connections of agents to their endpoints

Failed listings are repeated after 5 to 40 ms, and are reported before that delay. Metrics count connections by cause.

--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -90,7 +90,7 @@
     entry_leases: SortedMap<EntryId, Duration>,
     slowness_estimator: SlownessEstimator,
     /// Outcomes of recent runs: 0 if the task completed, 1 if it failed or if its start was refused
-    /// as [`StartRefusal::Unhealthy`].
+    /// as [`StartRefusal::Unhealthy`] or [`StartRefusal::NotSent`].
     failures: Samples,
     /// Tasks that are suspected of a crash of the endpoint, oldest first.
     crash_suspects: VecDeque<TaskName>,
--- a/crates/dispatch/src/executor/report.rs
+++ b/crates/dispatch/src/executor/report.rs
@@ -86,8 +86,10 @@
     TooLate,
     /// The endpoint has too few free resources.
     NoRoom,
-    /// The endpoint cannot be reached in time, or answered that it cannot serve the call.
+    /// The endpoint answered that it cannot serve the call.
     Unhealthy,
+    /// No connection to the endpoint was available in time, so the call was not sent.
+    NotSent,
     /// Nothing listens at the endpoint's address.
     NotListening,
     /// Another incarnation answers at the address.
--- a/crates/dispatch/src/executor/start.rs
+++ b/crates/dispatch/src/executor/start.rs
@@ -165,7 +165,7 @@
     fn on_start_refused(&mut self, now: Duration, run: &TaskRun, refusal: StartRefusal) {
         match refusal {
             StartRefusal::OldRun => self.remove_and_report(&run.task, RunStatus::StaleRun),
-            StartRefusal::Unhealthy => {
+            StartRefusal::Unhealthy | StartRefusal::NotSent => {
                 self.failures.add(now, 1.0);
                 self.remove_and_report(&run.task, RunStatus::NotStarted);
             }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 //!   next.
 
 mod attachment;
+mod connection_budget;
 mod executor;
 mod id;
 mod job;
@@ -30,6 +31,7 @@
 mod scheduler;
 
 pub use attachment::{KnownEntry, MAX_ENTRIES_PER_AGENT, select_entries};
+pub use connection_budget::{ConnectionBudget, ConnectionDecision, ConnectionLoad};
 pub use executor::{
     EndpointReport, Executor, ExecutorAction, ExecutorSettings, Listing, ReceivedOrder, RunOutcome,
     StartOutcome, StartRefusal, TaskEnd, TaskProgress,
--- a/crates/dispatch/src/reply_tracker.rs
+++ b/crates/dispatch/src/reply_tracker.rs
@@ -1,7 +1,8 @@
 //! Tracks which calls to an endpoint are answered.
 //!
 //! A link may lose a share of all answers. While answers are lost, listings return sooner, and
-//! connections are kept as long as some calls are answered.
+//! connections are kept as long as some calls are answered. While none is, listings are sent less
+//! often.
 
 use std::time::Duration;
 
@@ -21,6 +22,13 @@
 /// twice as often.
 const MIN_SILENCE: Duration = Duration::from_millis(80);
 
+/// First delay before the next listing after one that was not answered; it doubles with each one.
+const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(5);
+/// Maximum delay before the next listing, which bounds the time until the return of the endpoint is
+/// noticed. With a constant delay of 5 ms, an agent whose endpoint refused connections for a second
+/// attempted up to 200.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(40);
+
 /// What an agent knows of the runs at its endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EndpointActivity {
@@ -55,6 +63,8 @@
     connections_closed: bool,
     last_answered_at: Option<Duration>,
     last_lost_at: Option<Duration>,
+    /// Number of consecutive listings that failed.
+    failed_listings: u32,
 }
 
 impl ReplyTracker {
@@ -86,4 +96,15 @@
             EndpointActivity::Busy => BUSY_LISTING_WAIT,
         }
     }
+
+    /// Records whether a list request succeeded. Returns the delay before the next one.
+    pub fn record_listing(&mut self, succeeded: bool) -> Duration {
+        if succeeded {
+            self.failed_listings = 0;
+            return Duration::ZERO;
+        }
+        let doublings = self.failed_listings.min(10);
+        self.failed_listings += 1;
+        (INITIAL_RETRY_DELAY * (1 << doublings)).min(MAX_RETRY_DELAY)
+    }
 }
--- a/crates/dispatch/tests/testsuite/executor/starts.rs
+++ b/crates/dispatch/tests/testsuite/executor/starts.rs
@@ -60,6 +60,7 @@
         Case { refusal: StartRefusal::NoRoom, status: RunStatus::NotStarted },
         Case { refusal: StartRefusal::TooLate, status: RunStatus::NotStarted },
         Case { refusal: StartRefusal::Unhealthy, status: RunStatus::NotStarted },
+        Case { refusal: StartRefusal::NotSent, status: RunStatus::NotStarted },
         Case { refusal: StartRefusal::OtherIncarnation, status: RunStatus::NotStarted },
     ];
     for case in cases {
--- a/crates/dispatch/tests/testsuite/executor/unanswered.rs
+++ b/crates/dispatch/tests/testsuite/executor/unanswered.rs
@@ -92,6 +92,7 @@
         StartRefusal::NoRoom,
         StartRefusal::TooLate,
         StartRefusal::Unhealthy,
+        StartRefusal::NotSent,
         StartRefusal::Fenced,
     ];
     for refusal in refusals {
--- a/crates/dispatch/tests/testsuite/reply_tracker.rs
+++ b/crates/dispatch/tests/testsuite/reply_tracker.rs
@@ -59,6 +59,16 @@
     assert!(tracker.listing_wait(START + ms(120), EndpointActivity::Idle) > normal_wait);
 }
 
+/// An agent whose endpoint refused every connection listed again every 5 ms.
+#[test]
+fn listings_that_fail_are_sent_less_and_less_often() {
+    let mut tracker = ReplyTracker::default();
+    let delays: Vec<Duration> = (0..6).map(|_| tracker.record_listing(false)).collect();
+    assert_eq!(delays, [5, 10, 20, 40, 40, 40].map(ms));
+    assert_eq!(tracker.record_listing(true), Duration::ZERO);
+    assert_eq!(tracker.record_listing(false), ms(5));
+}
+
 /// The first listing of an agent that has started waited 300 ms, in which its endpoint took no task.
 /// After a loss of all power, every agent of the deployment did so.
 #[test]
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -60,7 +60,9 @@
         let members = Arc::new(Members::new(&common.seeds));
         let (events, rx) = mpsc::unbounded_channel();
         let (drained_tx, drained) = watch::channel(false);
-        let calls = EndpointCalls::new(endpoint, started_ms, clock.clone(), events.clone());
+        let (call_clock, call_metrics) = (clock.clone(), metrics.clone());
+        let calls =
+            EndpointCalls::new(endpoint, started_ms, call_clock, call_metrics, events.clone());
         let id = name.parse().expect("a valid node name and digits form an agent id");
         let (reports, report_changes) = watch::channel(None);
         let handles = SharedHandles { members: members.clone(), reports };
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -43,6 +43,8 @@
         /// The listing, or the reason why there is none.
         result: Result<Listing, EndpointError>,
     },
+    /// The next list request may be sent.
+    ListingDue,
     /// The outcome of a start request.
     StartReply(TaskRun, StartOutcome),
     /// The endpoint has confirmed that a run is stopped.
@@ -129,7 +131,7 @@
     streams: SortedMap<EntryId, EntryStream>,
     /// Task events for entries without an open stream.
     unsent_events: SortedMap<EntryId, Vec<proto::TaskEvent>>,
-    /// Whether a list request has been sent and not answered yet.
+    /// Whether a list request has been sent and the next one is not due yet.
     listing_in_flight: bool,
     /// Whether the endpoint answered the last list request.
     is_reachable: bool,
@@ -211,6 +213,7 @@
                 self.mark_status_changed();
             }
             Event::ListReply { endpoint_id, result } => self.on_listing(now, &endpoint_id, result),
+            Event::ListingDue => self.listing_in_flight = false,
             Event::StartReply(run, outcome) => {
                 if outcome != StartOutcome::Started {
                     self.metrics.count("start_not_confirmed");
@@ -271,7 +274,6 @@
         endpoint_id: &str,
         result: Result<Listing, EndpointError>,
     ) {
-        self.listing_in_flight = false;
         match result {
             Ok(listing) => {
                 if !self.is_reachable {
--- a/crates/node/src/agent/endpoint_calls.rs
+++ b/crates/node/src/agent/endpoint_calls.rs
@@ -5,12 +5,15 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use cowslipwing_dispatch::{EndpointActivity, ReplyTracker, StartOutcome, StartRefusal, TaskRun};
+use cowslipwing_dispatch::{
+    EndpointActivity, Listing, ReplyTracker, StartOutcome, StartRefusal, TaskRun,
+};
 use cowslipwing_platform::{EndpointClient, EndpointError, ListRequest};
 use cowslipwing_types::Clock;
 use tokio::sync::mpsc;
 
 use super::actor::Event;
+use crate::metrics::Metrics;
 
 /// Timeout of a start request. A healthy endpoint answers within a millisecond.
 const START_TIMEOUT: Duration = Duration::from_millis(150);
@@ -19,7 +22,7 @@
 /// Timeout of a list request, in addition to the time for which the endpoint waits. If an answer is
 /// lost, the end of a task is seen later by this time.
 const LIST_TIMEOUT_MARGIN: Duration = Duration::from_millis(35);
-/// Delay before the next list request after a failed one.
+/// Delay before the next list request after one that was refused for its token or incarnation.
 const LIST_RETRY_INTERVAL: Duration = Duration::from_millis(5);
 /// First increment of a refused fencing token; the increment doubles with each refusal. A token is
 /// refused if the clock of an earlier incarnation of the agent was ahead, since tokens are start
@@ -33,6 +36,7 @@
     fencing_token: Arc<FencingToken>,
     reply_tracker: Arc<Mutex<ReplyTracker>>,
     clock: Arc<dyn Clock>,
+    metrics: Arc<Metrics>,
     events: mpsc::UnboundedSender<Event>,
 }
 
@@ -64,6 +68,7 @@
         endpoint: SocketAddr,
         token: u64,
         clock: Arc<dyn Clock>,
+        metrics: Arc<Metrics>,
         events: mpsc::UnboundedSender<Event>,
     ) -> Self {
         let fencing_token =
@@ -73,6 +78,7 @@
             fencing_token: Arc::new(fencing_token),
             reply_tracker: Arc::default(),
             clock,
+            metrics,
             events,
         }
     }
@@ -86,12 +92,31 @@
         self.reply_tracker.lock().expect("the lock on the reply tracker is never poisoned")
     }
 
-    /// Records whether a call was answered, and closes idle connections after a period of silence.
-    fn record_call(&self, answered: bool) {
-        if self.reply_tracker().record_call(self.clock.since_boot(), answered) {
+    /// Records whether a call was answered, if it was sent, and closes idle connections after a
+    /// period of silence.
+    fn record_call(&self, is_answered: Option<bool>) {
+        let now = self.clock.since_boot();
+        let must_close = is_answered
+            .is_some_and(|is_answered| self.reply_tracker().record_call(now, is_answered));
+        if must_close {
             log::info!("agent: event=connections-closed reason=silent");
             self.client.close_idle();
         }
+        self.count_connections();
+    }
+
+    fn count_connections(&self) {
+        for (event, count) in self.client.take_connection_counts().iter() {
+            self.metrics.count_many(event.name(), *count);
+        }
+    }
+
+    /// Returns the delay before the next list request.
+    fn listing_delay(&self, result: &Result<Listing, EndpointError>) -> Duration {
+        let is_answered =
+            matches!(result, Ok(_) | Err(EndpointError::Fenced | EndpointError::OtherIncarnation));
+        let retry_delay = self.reply_tracker().record_listing(is_answered);
+        if result.is_ok() { Duration::ZERO } else { retry_delay.max(LIST_RETRY_INTERVAL) }
     }
 
     /// Sends a start request.
@@ -110,7 +135,13 @@
                 .client
                 .start(&endpoint_id, token, &run, &payload, start_deadline_ms, timeout)
                 .await;
-            calls.record_call(outcome != StartOutcome::NoReply);
+            let is_answered = match outcome {
+                StartOutcome::NoReply => Some(false),
+                // Nothing was sent, which tells nothing of the connections in use.
+                StartOutcome::Refused(StartRefusal::NotSent) => None,
+                _ => Some(true),
+            };
+            calls.record_call(is_answered);
             if outcome == StartOutcome::Refused(StartRefusal::Fenced) {
                 calls.fencing_token.raise(token);
             }
@@ -151,14 +182,17 @@
             let timeout = wait + LIST_TIMEOUT_MARGIN;
             let request = ListRequest { lease_deadline_ms, last_acked, wait, requested_at };
             let result = calls.client.list(&endpoint_id, token, request, timeout).await;
-            calls.record_call(!matches!(result, Err(EndpointError::NoAnswer { .. })));
-            if let Err(error) = &result {
-                if matches!(error, EndpointError::Fenced) {
-                    calls.fencing_token.raise(token);
-                }
-                tokio::time::sleep(LIST_RETRY_INTERVAL).await;
+            calls.record_call(Some(!matches!(result, Err(EndpointError::NoAnswer { .. }))));
+            if matches!(result, Err(EndpointError::Fenced)) {
+                calls.fencing_token.raise(token);
             }
+            let delay = calls.listing_delay(&result);
+            // A refused connection is reported at once, since queued tasks are returned then.
             calls.send_event(Event::ListReply { endpoint_id, result });
+            if !delay.is_zero() {
+                tokio::time::sleep(delay).await;
+            }
+            calls.send_event(Event::ListingDue);
         });
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -47,7 +47,12 @@
 
     /// Increments the counter of an event.
     pub fn count(&self, event: &str) {
-        self.events.get_or_create(&Labels { event: event.to_owned() }).inc();
+        self.count_many(event, 1);
+    }
+
+    /// Adds a number to the counter of an event.
+    pub fn count_many(&self, event: &str, count: u64) {
+        self.events.get_or_create(&Labels { event: event.to_owned() }).inc_by(count);
     }
 
     /// Records a duration in the histogram of an event.
