--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 //!   next.
 
 mod attachment;
+mod connection_budget;
 mod evacuation;
 mod executor;
 mod id;
@@ -31,6 +32,7 @@
 mod scheduler;
 
 pub use attachment::{KnownEntry, MAX_ENTRIES_PER_AGENT, select_entries};
+pub use connection_budget::{ConnectionBudget, ConnectionDecision, ConnectionLoad};
 pub use evacuation::{
     EvacuationFeed, EvacuationNotice, EvacuationNotices, EvacuationState, EvacuationVersion,
     Evacuations, FullEvacuationRead,
