--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -11,13 +11,14 @@
 mod migration;
 mod selection;
 mod task;
+mod withdrawal;
 
 use std::time::Duration;
 
 use cowslipwing_types::SortedMap;
 
 use crate::id::{AgentId, RequestId, TaskName, TaskRun};
-use crate::job::{Answer, GiveUpReason, JobSpec, RefusalReason};
+use crate::job::{Answer, GiveUpReason, JobSpec};
 use crate::predictor::Predictor;
 
 use admission::AdmissionRefusal;
@@ -26,6 +27,7 @@
 use endpoint::Endpoint;
 use selection::EndpointQuery;
 use task::{Job, Task, TaskState};
+use withdrawal::MAX_HOLD_TIME;
 
 pub use decision::Decision;
 pub use message::{Action, CrashRole, RunStatus, TaskEvent, TaskOrder};
@@ -135,7 +137,8 @@
         match self.admit(now, &job) {
             Ok(()) => self.start(now, job),
             Err(refusal) => {
-                if let Err((job, refusal)) = self.defer(now, job, refusal) {
+                if let Err(refused) = self.defer(now, job, refusal) {
+                    let (job, refusal) = *refused;
                     self.refuse(now, &job, refusal);
                 }
             }
@@ -194,12 +197,16 @@
 
     /// Places all tasks of a job whose dependencies are done.
     fn place_ready(&mut self, now: Duration, id: &RequestId) {
+        if self.is_withdrawn(id) {
+            self.settle_withdrawal(now, id);
+            return;
+        }
         let Some(job) = self.jobs.get(id) else {
             return;
         };
         for index in job.ready() {
             self.place_task(now, id, index);
-            if !self.jobs.contains(id) {
+            if !self.jobs.contains(id) || self.is_withdrawn(id) {
                 return;
             }
         }
@@ -207,6 +214,10 @@
 
     /// Sends a task to the best endpoint, or ends the job if the task can no longer succeed.
     fn place_task(&mut self, now: Duration, id: &RequestId, index: usize) {
+        if self.is_withdrawn(id) {
+            self.settle_withdrawal(now, id);
+            return;
+        }
         let Some(job) = self.jobs.get(id) else {
             return;
         };
@@ -275,25 +286,14 @@
             return;
         };
         job.tasks[index].state = TaskState::Waiting;
-        if now + MIN_TIME_LEFT > job.deadline || !job.has_started() || !has_endpoint {
-            self.end_unserved(now, id);
-        }
-    }
-
-    /// Ends a job that can no longer be served in time.
-    fn end_unserved(&mut self, now: Duration, id: &RequestId) {
-        let Some(job) = self.jobs.get(id) else {
-            return;
-        };
-        let retry_after = self.settings.entry_lease;
-        let answer = if job.may_have_started() {
-            Answer::GaveUp { reason: GiveUpReason::Deadline, retry_after }
-        } else if self.usable_endpoints(now) == 0 {
-            Answer::Refused { reason: RefusalReason::NoEndpoint, retry_after }
+        let min_time_left = if job.has_sent_tasks() && !job.is_known_to_have_started() {
+            MIN_TIME_LEFT + MAX_HOLD_TIME + CALLER_NETWORK_DELAY
         } else {
-            Answer::Refused { reason: RefusalReason::Load, retry_after }
+            MIN_TIME_LEFT
         };
-        self.end_job(id, Some(answer));
+        if now + min_time_left > job.deadline || !job.has_started() || !has_endpoint {
+            self.end_unserved(now, id);
+        }
     }
 
     /// Ends a job and cancels its tasks at agents.
@@ -367,14 +367,26 @@
                 }
                 self.place_task(now, &name.request, index);
             }
-            RunStatus::Slow(left) => self.consider_move(now, name, index, agent, left, None),
+            RunStatus::Slow(left) => {
+                self.record_running(now, name, index);
+                self.consider_move(now, name, index, agent, left, None);
+            }
             RunStatus::Overrun(left) => {
+                self.record_running(now, name, index);
                 let work = self.observed_work(now, name, index, left);
                 self.consider_move(now, name, index, agent, left, work);
             }
         }
     }
 
+    /// Records that a task is known to run.
+    fn record_running(&mut self, now: Duration, name: &TaskName, index: usize) {
+        if let Some(job) = self.jobs.get_mut(&name.request) {
+            job.tasks[index].may_have_started = true;
+        }
+        self.settle_withdrawal(now, &name.request);
+    }
+
     fn find_sent(&self, name: &TaskName, agent: &AgentId, run_number: u32) -> Option<usize> {
         let job = self.jobs.get(&name.request)?;
         let index = job.index_of(name)?;
@@ -440,6 +452,7 @@
                 self.on_task_event(now, &agent, &TaskEvent { run, status: RunStatus::Stopped });
             }
         }
+        self.expire_withdrawals(now);
         let is_timed_out = |job: &Job| now >= job.deadline;
         let ids: Vec<RequestId> = self
             .jobs
--- a/crates/dispatch/src/scheduler/decision.rs
+++ b/crates/dispatch/src/scheduler/decision.rs
@@ -45,6 +45,21 @@
         /// Time until the objective of the job.
         objective: Duration,
     },
+    /// The tasks of a job that could no longer be served were taken back from agents.
+    Withdrawn {
+        /// Id of the job.
+        id: RequestId,
+        /// Queue of the job.
+        queue: CompactString,
+        /// Number of tasks in the job.
+        tasks: usize,
+        /// Number of tasks whose agents have not answered.
+        unconfirmed: usize,
+        /// Whether all tasks are confirmed as not started.
+        not_started: bool,
+        /// Time from the cancellation of the tasks to the answer.
+        held_for: Duration,
+    },
     /// A task was sent to an agent.
     Sent {
         /// The run that was sent.
@@ -127,6 +142,12 @@
                     objective.as_millis()
                 )
             }
+            Self::Withdrawn { id, queue, tasks, unconfirmed, not_started, held_for } => write!(
+                f,
+                "event=withdrawn job={id} queue={queue} tasks={tasks} unconfirmed={unconfirmed} \
+                 not_started={not_started} ms={}",
+                held_for.as_millis()
+            ),
             Self::Sent { run, agent, wait, run_time, late_probability, status_age } => write!(
                 f,
                 "event=sent task={run} agent={agent} wait_ms={} takes_ms={} \
--- a/crates/dispatch/src/scheduler/deferral.rs
+++ b/crates/dispatch/src/scheduler/deferral.rs
@@ -65,12 +65,12 @@
         now: Duration,
         job: Job,
         refusal: AdmissionRefusal,
-    ) -> Result<(), (Job, AdmissionRefusal)> {
+    ) -> Result<(), Box<(Job, AdmissionRefusal)>> {
         let may_become_servable =
             matches!(refusal.reason, RefusalReason::NoEndpoint | RefusalReason::Load);
         let is_full = self.deferred.len() >= MAX_DEFERRED_JOBS;
         if !may_become_servable || is_full || !self.warm_up.is_active(now) {
-            return Err((job, refusal));
+            return Err(Box::new((job, refusal)));
         }
         let time_left = job.objective.min(job.deadline).saturating_sub(now);
         let until = now + time_left.mul_f64(MAX_WAIT_SHARE);
--- a/crates/dispatch/src/scheduler/task.rs
+++ b/crates/dispatch/src/scheduler/task.rs
@@ -144,6 +144,8 @@
     pub(super) deadline: Duration,
     /// Sorted by name.
     pub(super) tasks: Vec<Task>,
+    /// Time at which the tasks at agents were cancelled, because the job can no longer be served.
+    pub(super) withdrawn_at: Option<Duration>,
 }
 
 impl Job {
@@ -159,6 +161,7 @@
             objective: now + promised.saturating_sub(network_delay),
             deadline: now + spec.caller_timeout.saturating_sub(network_delay),
             tasks,
+            withdrawn_at: None,
             spec: std::sync::Arc::new(spec),
         }
     }
@@ -198,9 +201,20 @@
         self.tasks.iter().any(|task| !task.is_unstarted())
     }
 
-    /// Returns whether any task may have run or may still start.
-    pub(super) fn may_have_started(&self) -> bool {
-        self.has_started()
+    /// Returns whether any task was sent to an agent and is not known to have ended.
+    pub(super) fn has_sent_tasks(&self) -> bool {
+        self.tasks.iter().any(|task| matches!(task.state, TaskState::Sent { .. }))
+    }
+
+    /// Returns whether any task is done or may have started, apart from those at agents of which
+    /// nothing is known.
+    pub(super) fn is_known_to_have_started(&self) -> bool {
+        self.tasks.iter().any(|task| task.may_have_started || task.state == TaskState::Done)
+    }
+
+    /// Returns whether any task that is not done may have started.
+    pub(super) fn may_have_lost_run(&self) -> bool {
+        self.tasks.iter().any(|task| task.may_have_started && task.state != TaskState::Done)
     }
 
     /// Returns the number of tasks of a step at each agent; empty if the step has no limit.
--- a/crates/dispatch/tests/testsuite/fleet.rs
+++ b/crates/dispatch/tests/testsuite/fleet.rs
@@ -299,6 +299,11 @@
         self.exchange();
     }
 
+    /// Returns the processor time that queued tasks require, in thousandths of a core.
+    pub fn queued_cpu(&self) -> u32 {
+        self.hosts.iter().map(|host| host.executor.status(self.now).queued.total()).sum()
+    }
+
     pub fn answer_of(&self, id: &str) -> Option<Answer> {
         self.answers.iter().find(|(_, other, _)| other == id).map(|(_, _, answer)| *answer)
     }
--- a/crates/dispatch/tests/testsuite/main.rs
+++ b/crates/dispatch/tests/testsuite/main.rs
@@ -10,3 +10,4 @@
 mod scheduler;
 mod simulation;
 mod support;
+mod withdrawal;
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -184,6 +184,8 @@
         self.metrics.count(match decision {
             Decision::Admitted { .. } => "job_admitted",
             Decision::Refused { .. } => "job_refused",
+            Decision::Withdrawn { not_started: true, .. } => "withdrawal_refused",
+            Decision::Withdrawn { not_started: false, .. } => "withdrawal_given_up",
             Decision::Sent { .. } => "task_sent",
             Decision::Returned { .. } => "task_back",
             Decision::Moved { .. } => "task_moved",
