--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -2,12 +2,13 @@
 //!
 //! Resources are reserved before a start is sent. They are released when the endpoint lists the end
 //! of the run, or when the start can no longer be carried out. During short bursts of load, tasks
-//! that do not fit at once wait in the order of their latest useful start, and return to their
+//! that do not fit at once wait in the order of priority and latest useful start, and return to their
 //! entry when that moment has passed.
 
 mod held_task;
 mod incarnation;
 mod listing;
+mod queue_order;
 mod report;
 mod start;
 mod status;
--- a/crates/dispatch/src/executor/held_task.rs
+++ b/crates/dispatch/src/executor/held_task.rs
@@ -60,14 +60,15 @@
     pub(super) expected_work: Duration,
     /// Whether the objective was already missed when the order arrived.
     pub(super) objective_missed: bool,
-    /// Latest start that still meets the objective. Queued tasks start in this order, those whose
-    /// objective is missed last.
+    /// Latest start that still meets the objective.
     pub(super) latest_start: Duration,
     /// Time from which the task is not started any more.
     pub(super) abandon_at: Duration,
     /// Time by which the task must end for the answer to reach the caller in time.
     caller_deadline: Duration,
     pub(super) max_per_endpoint: u32,
+    /// Priority of the queue; 0 is the most urgent.
+    pub(super) priority: u32,
     pub(super) phase: Phase,
     /// Time at which the start was first sent; the arrival of the order while the task is queued.
     pub(super) started_at: Duration,
@@ -106,6 +107,7 @@
             abandon_at: now + order.abandon_after,
             caller_deadline: now + order.end_within,
             max_per_endpoint: order.max_per_endpoint,
+            priority: order.priority,
             phase: Phase::Queued,
             started_at: now,
             sent_at: now,
--- a/crates/dispatch/src/executor/start.rs
+++ b/crates/dispatch/src/executor/start.rs
@@ -34,18 +34,12 @@
         if !self.can_start(now) {
             return;
         }
-        let mut queued: Vec<(bool, Duration, TaskName)> = self
-            .held
-            .iter()
-            .filter(|(_, held)| held.phase == Phase::Queued)
-            .map(|(name, held)| (held.objective_missed, held.latest_start, name.clone()))
-            .collect();
+        let queued = self.queue_order(now);
         if queued.is_empty() {
             return;
         }
-        queued.sort();
         let mut free = self.unreserved();
-        for (_, _, name) in queued {
+        for name in queued {
             self.try_start(now, &name, &mut free);
         }
     }
--- a/crates/dispatch/src/executor/status.rs
+++ b/crates/dispatch/src/executor/status.rs
@@ -6,6 +6,7 @@
 
 use crate::id::RequestId;
 use crate::placement::{EndpointStatus, QueuedCpu};
+use crate::priority::CpuByPriority;
 
 use super::Executor;
 use super::held_task::Phase;
@@ -42,6 +43,8 @@
                 failure_rate
             },
             orders_seen: 0,
+            started_cpu: self.cpu_by_priority(|phase| phase != Phase::Queued),
+            queued_cpu: self.cpu_by_priority(|phase| phase == Phase::Queued),
         }
     }
 
@@ -68,6 +71,18 @@
         queued
     }
 
+    /// Returns the processor time of the tasks in the phases for which `predicate` holds.
+    fn cpu_by_priority<F>(&self, predicate: F) -> CpuByPriority
+    where
+        F: Fn(Phase) -> bool,
+    {
+        let mut cpu = CpuByPriority::default();
+        for held in self.held.values().filter(|held| predicate(held.phase)) {
+            cpu.add(held.priority, held.resources.cpu_millis);
+        }
+        cpu
+    }
+
     fn mean_remaining(&self, now: Duration, slowness: f64) -> Duration {
         let started = self.held.values().filter(|held| held.phase != Phase::Queued);
         let (sum, count) = started.fold((Duration::ZERO, 0u32), |(sum, count), held| {
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -18,7 +18,7 @@
     pub stretch: f64,
     /// Constant part of the promised response time, added to the multiple.
     pub target_latency: Duration,
-    /// Priority of the queue; 0 is the most urgent. The scheduler does not use it.
+    /// Priority of the queue; 0 is the most urgent.
     pub priority: u32,
 }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 mod job;
 mod placement;
 mod predictor;
+mod priority;
 mod reply_tracker;
 mod resources;
 mod route;
@@ -41,6 +42,7 @@
     QueuedCpu, exceedance_probability,
 };
 pub use predictor::{Predictor, WorkEstimate};
+pub use priority::{CpuByPriority, PRIORITY_CLASSES, priority_class};
 pub use reply_tracker::{EndpointActivity, ReplyTracker};
 pub use resources::{FreeResources, Resources};
 pub use route::{Route, RouteTable};
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -10,6 +10,7 @@
 
 use crate::job::ContractTerms;
 use crate::predictor::WorkEstimate;
+use crate::priority::CpuByPriority;
 use crate::resources::{FreeResources, Resources};
 
 /// Time from sending an order until the endpoint starts the task, plus the time for the answer to
@@ -66,6 +67,12 @@
     pub failure_rate: f64,
     /// Number of orders that the agent had received on its stream when it sent the status.
     pub orders_seen: u64,
+    /// Processor time reserved for started tasks, by the priority of their queue; zero if the agent
+    /// does not report it.
+    pub started_cpu: CpuByPriority,
+    /// Processor time that queued tasks require, by the priority of their queue; zero if the agent
+    /// does not report it.
+    pub queued_cpu: CpuByPriority,
 }
 
 /// Upper bounds of the slack classes in [`QueuedCpu`]; the last class has none.
--- a/crates/dispatch/tests/testsuite/executor.rs
+++ b/crates/dispatch/tests/testsuite/executor.rs
@@ -3,6 +3,7 @@
 mod incarnations;
 mod leases;
 mod progress;
+mod queue_order;
 mod starts;
 mod unanswered;
 
--- a/crates/dispatch/tests/testsuite/support.rs
+++ b/crates/dispatch/tests/testsuite/support.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use cowslipwing_dispatch::{
-    Action, AgentId, Answer, ContractTerms, EndpointStatus, FreeResources, JobSpec, QueuedCpu,
-    Resources, Scheduler, SchedulerSettings, StepSpec, TaskOrder,
+    Action, AgentId, Answer, ContractTerms, CpuByPriority, EndpointStatus, FreeResources, JobSpec,
+    QueuedCpu, Resources, Scheduler, SchedulerSettings, StepSpec, TaskOrder,
 };
 
 /// The settings that the daemons use.
@@ -72,6 +72,8 @@
         slowness,
         failure_rate: 0.0,
         orders_seen: 0,
+        started_cpu: CpuByPriority::default(),
+        queued_cpu: CpuByPriority::default(),
     }
 }
 
--- a/crates/node/src/convert.rs
+++ b/crates/node/src/convert.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use cowslipwing_dispatch::{
-    CrashRole, EndpointStatus, FreeResources, QueuedCpu, Resources, RunStatus, TaskEvent, TaskOrder,
+    CpuByPriority, CrashRole, EndpointStatus, FreeResources, QueuedCpu, Resources, RunStatus,
+    TaskEvent, TaskOrder,
 };
 use cowslipwing_proto as proto;
 
@@ -126,6 +127,8 @@
         failing_percent: (status.failure_rate * PERCENT) as u32,
         orders_seen: status.orders_seen,
         queued_cpu_millis: status.queued.classes.to_vec(),
+        started_by_priority: status.started_cpu.classes.to_vec(),
+        queued_by_priority: status.queued_cpu.classes.to_vec(),
     }
 }
 
@@ -151,9 +154,19 @@
         slowness: f64::from(wire.slowness_percent) / PERCENT,
         failure_rate: f64::from(wire.failing_percent) / PERCENT,
         orders_seen: wire.orders_seen,
+        started_cpu: by_priority_from_proto(&wire.started_by_priority),
+        queued_cpu: by_priority_from_proto(&wire.queued_by_priority),
     }
 }
 
+fn by_priority_from_proto(wire: &[u32]) -> CpuByPriority {
+    let mut cpu = CpuByPriority::default();
+    for (priority, cpu_millis) in (0u32..).zip(wire) {
+        cpu.add(priority, *cpu_millis);
+    }
+    cpu
+}
+
 fn queued_from_proto(wire: &[u32]) -> QueuedCpu {
     let mut queued = QueuedCpu::default();
     for (class, cpu_millis) in queued.classes.iter_mut().zip(wire) {
