--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -9,8 +9,11 @@
 mod endpoint;
 mod message;
 mod migration;
+mod overload;
+mod retry_after;
 mod selection;
 mod task;
+mod usage;
 mod withdrawal;
 
 use std::time::Duration;
@@ -18,13 +21,14 @@
 use cowslipwing_types::SortedMap;
 
 use crate::id::{AgentId, RequestId, TaskName, TaskRun};
-use crate::job::{Answer, GiveUpReason, JobSpec};
+use crate::job::{Answer, GiveUpReason, JobSpec, RefusalReason};
 use crate::predictor::Predictor;
 
 use admission::AdmissionRefusal;
 use containment::Containment;
 use deferral::{DeferredJob, WarmUp};
 use endpoint::Endpoint;
+use overload::Overload;
 use selection::EndpointQuery;
 use task::{Job, Task, TaskState};
 use withdrawal::MAX_HOLD_TIME;
@@ -74,6 +78,7 @@
     warm_up: WarmUp,
     predictor: Predictor,
     containment: Containment,
+    overload: Overload,
     actions: Vec<Action>,
 }
 
@@ -88,6 +93,7 @@
             warm_up: WarmUp::default(),
             predictor: Predictor::default(),
             containment: Containment::default(),
+            overload: Overload::default(),
             actions: Vec::new(),
         }
     }
@@ -148,6 +154,7 @@
     /// Places the first tasks of an admitted job.
     fn start(&mut self, now: Duration, job: Job) {
         let id = job.spec.id.clone();
+        self.record_demand(&job.spec, true);
         self.record_admitted(now, &job);
         self.jobs.insert(id.clone(), job);
         self.place_ready(now, &id);
@@ -166,11 +173,16 @@
     }
 
     fn refuse(&mut self, now: Duration, job: &Job, refusal: AdmissionRefusal) {
-        let AdmissionRefusal { reason, response_time, retry_after } = refusal;
+        let AdmissionRefusal { reason, response_time, yields_to, retry_after } = refusal;
+        if reason == RefusalReason::Load {
+            self.record_demand(&job.spec, false);
+        }
         let id = job.spec.id.clone();
         let decision = Decision::Refused {
             id: id.clone(),
             queue: job.spec.queue.clone(),
+            priority: job.spec.terms.priority,
+            yields_to,
             reason,
             load: self.load(&job.spec.service),
             endpoints: self.usable_endpoints(now),
@@ -265,7 +277,7 @@
         let Some(endpoint) = self.endpoints.get_mut(&selected.agent) else {
             return;
         };
-        endpoint.on_sent(resources);
+        endpoint.on_sent(resources, spec.terms.priority);
         let decision = Decision::Sent {
             run: order.run.clone(),
             agent: selected.agent.clone(),
@@ -452,6 +464,7 @@
                 self.on_task_event(now, &agent, &TaskEvent { run, status: RunStatus::Stopped });
             }
         }
+        self.sample_usage(now);
         self.expire_withdrawals(now);
         let is_timed_out = |job: &Job| now >= job.deadline;
         let ids: Vec<RequestId> = self
--- a/crates/dispatch/src/scheduler/admission.rs
+++ b/crates/dispatch/src/scheduler/admission.rs
@@ -2,7 +2,7 @@
 //!
 //! When the load exceeds the capacity of the endpoints, a job that would be late is refused before
 //! any of its tasks is sent. The refusal then guarantees that no task has run, and other jobs stay
-//! in time.
+//! in time. [`overload`](super::overload) decides which queues are refused first.
 
 use std::time::Duration;
 
@@ -11,6 +11,8 @@
 use crate::resources::Resources;
 
 use super::endpoint::Endpoint;
+use super::overload::JobDemand;
+use super::retry_after::MIN_RETRY_AFTER;
 use super::selection::{EndpointQuery, SelectedEndpoint};
 use super::task::Job;
 use super::{MAX_TIMEOUT_PROBABILITY, Scheduler};
@@ -20,14 +22,14 @@
 /// Load of the endpoints above which jobs that would be late are refused, so that others stay in
 /// time.
 const MAX_LOAD_FOR_LATE_JOBS: f64 = 0.9;
-/// Minimum time after which a refused caller may retry; the load changes within this time.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// The refusal of a job.
 pub(super) struct AdmissionRefusal {
     pub(super) reason: RefusalReason,
     /// Predicted time until the answer would reach the caller.
     pub(super) response_time: Duration,
+    /// Priority class that the capacity is left to, if the job is refused for its sake.
+    pub(super) yields_to: Option<usize>,
     pub(super) retry_after: Duration,
 }
 
@@ -69,18 +71,25 @@
         let times_out = forecast.timeout_probability > MAX_TIMEOUT_PROBABILITY;
         let is_late = forecast.late_probability > MAX_LATE_PROBABILITY
             && self.load(&job.spec.service) > MAX_LOAD_FOR_LATE_JOBS;
-        if times_out || is_late {
-            let retry_after = forecast.wait.max(MIN_RETRY_AFTER);
-            let response_time = forecast.response_time();
+        let yields_to = if times_out || is_late { None } else { self.yields_to(now, &job.spec) };
+        if times_out || is_late || yields_to.is_some() {
+            let default = forecast.wait.max(MIN_RETRY_AFTER);
             return Err(AdmissionRefusal {
                 reason: RefusalReason::Load,
-                response_time,
-                retry_after,
+                response_time: forecast.response_time(),
+                yields_to,
+                retry_after: self.retry_after(now, &job.spec, default),
             });
         }
         Ok(())
     }
 
+    /// Returns the priority class for whose sake a job must be refused, if there is one.
+    fn yields_to(&self, now: Duration, spec: &JobSpec) -> Option<usize> {
+        let usage = self.service_usage(now, &spec.service);
+        self.overload.yields_to(&spec.service, &usage, JobDemand::of(spec))
+    }
+
     /// Releases the resources that were reserved during an admission check.
     fn release_reserved(&mut self, reserved: &[(AgentId, Resources)]) {
         for (agent, resources) in reserved {
@@ -106,6 +115,7 @@
         AdmissionRefusal {
             reason,
             response_time: Duration::ZERO,
+            yields_to: None,
             retry_after: self.settings.lease_bound(),
         }
     }
--- a/crates/dispatch/src/scheduler/decision.rs
+++ b/crates/dispatch/src/scheduler/decision.rs
@@ -34,6 +34,10 @@
         id: RequestId,
         /// Queue of the job.
         queue: CompactString,
+        /// Priority of the queue; 0 is the most urgent.
+        priority: u32,
+        /// Priority class that the capacity is left to, if the job was refused for its sake.
+        yields_to: Option<usize>,
         /// Reason for the refusal.
         reason: RefusalReason,
         /// Share of the service's processors in use or requested by queued tasks.
@@ -133,14 +137,28 @@
                 objective.as_millis(),
                 deadline.as_millis()
             ),
-            Self::Refused { id, queue, reason, load, endpoints, response_time, objective } => {
+            Self::Refused {
+                id,
+                queue,
+                priority,
+                yields_to,
+                reason,
+                load,
+                endpoints,
+                response_time,
+                objective,
+            } => {
                 write!(
                     f,
                     "event=refused job={id} queue={queue} reason={reason} load={load:.2} \
-                 endpoints={endpoints} end_ms={} objective_ms={}",
+                     endpoints={endpoints} end_ms={} objective_ms={} priority={priority}",
                     response_time.as_millis(),
                     objective.as_millis()
-                )
+                )?;
+                match yields_to {
+                    Some(class) => write!(f, " yields_to={class}"),
+                    None => Ok(()),
+                }
             }
             Self::Withdrawn { id, queue, tasks, unconfirmed, not_started, held_for } => write!(
                 f,
--- a/crates/dispatch/src/scheduler/endpoint.rs
+++ b/crates/dispatch/src/scheduler/endpoint.rs
@@ -5,11 +5,20 @@
 
 use crate::job::StepSpec;
 use crate::placement::EndpointStatus;
+use crate::priority::CpuByPriority;
 use crate::resources::{FreeResources, Resources};
 
 /// Time for which a disconnected agent is kept after the expiry of all leases.
 const REMOVAL_DELAY: Duration = Duration::from_secs(30);
 
+/// An order that the status of an endpoint does not include yet.
+struct OrderInFlight {
+    /// Number of the order on its stream, from 1.
+    number: u64,
+    resources: Resources,
+    priority: u32,
+}
+
 /// An endpoint and the connection to its agent.
 pub(super) struct Endpoint {
     pub(super) status: EndpointStatus,
@@ -21,8 +30,8 @@
     attached: bool,
     /// Number of orders sent on the current stream.
     orders_sent: u64,
-    /// Number and resources of each order that the status does not include yet, oldest first.
-    orders_in_flight: VecDeque<(u64, Resources)>,
+    /// The orders that the status does not include yet, oldest first.
+    orders_in_flight: VecDeque<OrderInFlight>,
 }
 
 impl Endpoint {
@@ -49,13 +58,14 @@
         self.status.usable = false;
     }
 
-    pub(super) fn on_sent(&mut self, resources: Resources) {
+    pub(super) fn on_sent(&mut self, resources: Resources, priority: u32) {
         self.orders_sent += 1;
-        self.orders_in_flight.push_back((self.orders_sent, resources));
+        let number = self.orders_sent;
+        self.orders_in_flight.push_back(OrderInFlight { number, resources, priority });
     }
 
     pub(super) fn on_status(&mut self, status: EndpointStatus) {
-        while self.orders_in_flight.front().is_some_and(|(number, _)| *number <= status.orders_seen)
+        while self.orders_in_flight.front().is_some_and(|order| order.number <= status.orders_seen)
         {
             self.orders_in_flight.pop_front();
         }
@@ -69,12 +79,21 @@
         free.cpu_millis = free.cpu_millis.saturating_add(self.admission_reserved.cpu_millis);
         free.memory_mb = free.memory_mb.saturating_add(self.admission_reserved.memory_mb);
         free.gpus = free.gpus.saturating_add(self.admission_reserved.gpus);
-        for (_, resources) in &self.orders_in_flight {
-            free.reserve(*resources);
+        for order in &self.orders_in_flight {
+            free.reserve(order.resources);
         }
         free
     }
 
+    /// Returns the processor time of the orders in flight.
+    pub(super) fn cpu_in_flight(&self) -> CpuByPriority {
+        let mut cpu = CpuByPriority::default();
+        for order in &self.orders_in_flight {
+            cpu.add(order.priority, order.resources.cpu_millis);
+        }
+        cpu
+    }
+
     pub(super) fn is_usable(&self, now: Duration, suspect_after: Duration) -> bool {
         self.attached && self.status.usable && now < self.heard_at + suspect_after
     }
--- a/crates/dispatch/src/scheduler/withdrawal.rs
+++ b/crates/dispatch/src/scheduler/withdrawal.rs
@@ -132,7 +132,10 @@
     }
 
     fn refuse_unstarted(&mut self, now: Duration, id: &RequestId) {
-        let retry_after = self.settings.entry_lease;
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let retry_after = self.retry_after(now, &job.spec, self.settings.entry_lease);
         let reason = if self.usable_endpoints(now) == 0 {
             RefusalReason::NoEndpoint
         } else {
--- a/crates/dispatch/tests/testsuite/fleet.rs
+++ b/crates/dispatch/tests/testsuite/fleet.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use cowslipwing_dispatch::{
-    Action, AgentId, Answer, Decision, EndpointReport, EntryId, Executor, ExecutorAction,
-    ExecutorSettings, JobSpec, Listing, ReceivedOrder, Resources, RunOutcome, Scheduler,
-    StartOutcome, StartRefusal, TaskEnd, TaskOrder, TaskProgress, TaskRun,
+    Action, AgentId, Answer, Decision, EndpointReport, EndpointStatus, EntryId, Executor,
+    ExecutorAction, ExecutorSettings, JobSpec, Listing, ReceivedOrder, Resources, RunOutcome,
+    Scheduler, StartOutcome, StartRefusal, TaskEnd, TaskOrder, TaskProgress, TaskRun,
 };
 
 use crate::support::{SETTINGS, WARM_UP, agent, answers, ms, resources};
@@ -20,7 +20,7 @@
 pub const START: Duration = Duration::from_secs(100);
 /// Time between two steps of the simulation.
 const STEP: Duration = Duration::from_millis(5);
-/// Time that each task takes.
+/// Time that each task takes whose payload is not a time in milliseconds.
 pub const RUN_TIME: Duration = Duration::from_millis(60);
 const ENDPOINT_CPU_MILLIS: u32 = 8000;
 
@@ -39,12 +39,17 @@
     down_until: Option<Duration>,
     /// Running runs and the times at which they complete.
     pub running: BTreeMap<TaskRun, Duration>,
+    /// Time at which each run was started, also of those that have ended.
+    started_at: BTreeMap<TaskRun, Duration>,
+    cpu_millis: u32,
+    /// Number of orders received.
+    orders_seen: u64,
     ended: Vec<TaskEnd>,
     end_count: u64,
 }
 
 impl Host {
-    fn new() -> Self {
+    fn new(cpu_millis: u32) -> Self {
         let settings = ExecutorSettings {
             entry_lease: SETTINGS.entry_lease,
             endpoint_lease: SETTINGS.endpoint_lease,
@@ -56,6 +61,9 @@
             incarnation: 1,
             down_until: None,
             running: BTreeMap::new(),
+            started_at: BTreeMap::new(),
+            cpu_millis,
+            orders_seen: 0,
             ended: Vec::new(),
             end_count: 0,
         }
@@ -66,7 +74,7 @@
             id: format!("i-{}", self.incarnation).into(),
             incarnation: self.incarnation,
             service: "desk".into(),
-            capacity: Resources { cpu_millis: ENDPOINT_CPU_MILLIS, memory_mb: 4096, gpus: 0 },
+            capacity: Resources { cpu_millis: self.cpu_millis, memory_mb: 65536, gpus: 0 },
             kind: "a".into(),
             rack: "r1".into(),
             draining: false,
@@ -97,17 +105,23 @@
         for (run, _) in self.running.clone().iter().filter(|(_, until)| is_done(until)) {
             self.end(run, RunOutcome::Done);
         }
-        let running = self.running.keys().cloned();
+        let running = self.running.iter();
         let listing = Listing {
             requested_at: now,
             incarnation: self.incarnation,
             clock_ms: now.as_millis() as u64,
-            running: running.map(|run| TaskProgress { run, percent: 50 }).collect(),
+            running: running.map(|(run, until)| self.progress(now, run, *until)).collect(),
             ended: self.ended.clone(),
         };
         self.executor.on_listing(now, &listing);
     }
 
+    fn progress(&self, now: Duration, run: &TaskRun, until: Duration) -> TaskProgress {
+        let started_at = self.started_at[run];
+        let share = (now - started_at).as_secs_f64() / (until - started_at).as_secs_f64();
+        TaskProgress { run: run.clone(), percent: (share * 100.0) as u32 }
+    }
+
     fn end(&mut self, run: &TaskRun, outcome: RunOutcome) {
         if self.running.remove(run).is_some() {
             self.end_count += 1;
@@ -129,7 +143,11 @@
     pub orders: u32,
     /// Number of times that a queue was contained.
     pub contained: u32,
+    /// Number of jobs refused for the sake of another priority.
+    pub yielded: u32,
     answers: Vec<(Duration, String, Answer)>,
+    /// Whether the statuses count the orders received, so that these are in flight no longer.
+    counts_orders: bool,
 }
 
 fn entry() -> EntryId {
@@ -138,6 +156,17 @@
 
 impl Fleet {
     pub fn new(size: usize, last_reply: LastReply, downtime: Duration) -> Self {
+        Self::with_cpu(size, ENDPOINT_CPU_MILLIS, last_reply, downtime)
+    }
+
+    /// Creates a fleet for a lasting load, whose endpoints have this processor time, in thousandths
+    /// of a core. Its statuses count the orders received.
+    pub fn for_load(size: usize, cpu_millis: u32) -> Self {
+        let fleet = Self::with_cpu(size, cpu_millis, LastReply::Started, Duration::ZERO);
+        Self { counts_orders: true, ..fleet }
+    }
+
+    fn with_cpu(size: usize, cpu_millis: u32, last_reply: LastReply, downtime: Duration) -> Self {
         let mut scheduler = Scheduler::new(SETTINGS);
         scheduler.on_tick(START - WARM_UP);
         for number in 0..size {
@@ -146,13 +175,15 @@
         let mut fleet = Self {
             now: START,
             scheduler,
-            hosts: (0..size).map(|_| Host::new()).collect(),
+            hosts: (0..size).map(|_| Host::new(cpu_millis)).collect(),
             last_reply,
             downtime,
             crashes: 0,
             orders: 0,
             contained: 0,
+            yielded: 0,
             answers: Vec::new(),
+            counts_orders: false,
         };
         fleet.step();
         fleet
@@ -180,7 +211,9 @@
         }
         self.exchange();
         for (number, host) in self.hosts.iter().enumerate() {
-            self.scheduler.on_status(now, &agent(number), host.executor.status(now));
+            let orders_seen = if self.counts_orders { host.orders_seen } else { 0 };
+            let status = EndpointStatus { orders_seen, ..host.executor.status(now) };
+            self.scheduler.on_status(now, &agent(number), status);
         }
         self.scheduler.on_tick(now);
         self.exchange();
@@ -228,6 +261,7 @@
                 self.orders += 1;
                 let number = self.host_of(&to);
                 let received = ReceivedOrder { entry: entry(), order };
+                self.hosts[number].orders_seen += 1;
                 self.hosts[number].executor.on_order(self.now, received);
             }
             Action::Cancel(to, run) => {
@@ -235,6 +269,7 @@
                 self.hosts[number].executor.on_cancel(self.now, &entry(), &run);
             }
             Action::Record(Decision::QueueContained { .. }) => self.contained += 1,
+            Action::Record(Decision::Refused { yields_to: Some(_), .. }) => self.yielded += 1,
             Action::Answer(..) | Action::Record(_) => {}
         }
     }
@@ -256,8 +291,10 @@
                 };
                 host.executor.on_start_reply(now, &run, outcome);
             }
-            ExecutorAction::Start { run, .. } => {
-                host.running.entry(run.clone()).or_insert(now + RUN_TIME);
+            ExecutorAction::Start { run, payload, .. } => {
+                let run_time = payload.parse().map_or(RUN_TIME, Duration::from_millis);
+                host.running.entry(run.clone()).or_insert(now + run_time);
+                host.started_at.entry(run.clone()).or_insert(now);
                 host.executor.on_start_reply(now, &run, StartOutcome::Started);
             }
             ExecutorAction::Stop(run) => {
@@ -304,6 +341,11 @@
         self.hosts.iter().map(|host| host.executor.status(self.now).queued.total()).sum()
     }
 
+    /// Returns the time and the answer of each answered job, in the order of the answers.
+    pub fn answers(&self) -> &[(Duration, String, Answer)] {
+        &self.answers
+    }
+
     pub fn answer_of(&self, id: &str) -> Option<Answer> {
         self.answers.iter().find(|(_, other, _)| other == id).map(|(_, _, answer)| *answer)
     }
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -193,6 +193,9 @@
             Decision::QueueContained { .. } => "queue_contained",
             Decision::AgentLost { .. } => "agent_lost",
         });
+        if let Decision::Refused { priority, yields_to: Some(class), .. } = decision {
+            self.metrics.count(&format!("job_refused_p{priority}_for_p{class}"));
+        }
         log::info!("entry: {decision}");
     }
 
