--- a/crates/dispatch/tests/testsuite/fleet.rs
+++ b/crates/dispatch/tests/testsuite/fleet.rs
@@ -23,6 +23,8 @@
 /// Time that each task takes whose payload is not a time in milliseconds.
 pub const RUN_TIME: Duration = Duration::from_millis(60);
 const ENDPOINT_CPU_MILLIS: u32 = 8000;
+/// Steps between two statuses of an agent with eight streams, which sends one every 64 ms.
+const STATUS_STEPS: u32 = 13;
 
 /// How an endpoint answers the start of a deadly task before it crashes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -42,8 +44,8 @@
     /// Time at which each run was started, also of those that have ended.
     started_at: BTreeMap<TaskRun, Duration>,
     cpu_millis: u32,
-    /// Number of orders received.
-    orders_seen: u64,
+    /// Number of orders received from each entry.
+    orders_seen: Vec<u64>,
     ended: Vec<TaskEnd>,
     end_count: u64,
 }
@@ -63,7 +65,7 @@
             running: BTreeMap::new(),
             started_at: BTreeMap::new(),
             cpu_millis,
-            orders_seen: 0,
+            orders_seen: Vec::new(),
             ended: Vec::new(),
             end_count: 0,
         }
@@ -130,10 +132,15 @@
     }
 }
 
-/// Agents with their endpoints, and the scheduler of one entry.
+/// Agents with their endpoints, and the schedulers of the entries.
 pub struct Fleet {
     pub now: Duration,
-    scheduler: Scheduler,
+    /// One for each entry.
+    schedulers: Vec<Scheduler>,
+    /// Number of jobs submitted, which go to the entries in turn.
+    submitted: usize,
+    /// Number of steps so far.
+    steps: u32,
     pub hosts: Vec<Host>,
     last_reply: LastReply,
     pub downtime: Duration,
@@ -146,12 +153,22 @@
     /// Number of jobs refused for the sake of another priority.
     pub yielded: u32,
     answers: Vec<(Duration, String, Answer)>,
+    steps_per_status: u32,
     /// Whether the statuses count the orders received, so that these are in flight no longer.
     counts_orders: bool,
 }
 
-fn entry() -> EntryId {
-    "front-1@1".parse().unwrap()
+fn entry(number: usize) -> EntryId {
+    format!("front-{number}@1").parse().unwrap()
+}
+
+fn new_scheduler(size: usize) -> Scheduler {
+    let mut scheduler = Scheduler::new(SETTINGS);
+    scheduler.on_tick(START - WARM_UP);
+    for number in 0..size {
+        scheduler.on_attached(START - WARM_UP, &agent(number), &[]);
+    }
+    scheduler
 }
 
 impl Fleet {
@@ -160,22 +177,28 @@
     }
 
     /// Creates a fleet for a lasting load, whose endpoints have this processor time, in thousandths
-    /// of a core. Its statuses count the orders received.
-    pub fn for_load(size: usize, cpu_millis: u32) -> Self {
-        let fleet = Self::with_cpu(size, cpu_millis, LastReply::Started, Duration::ZERO);
-        Self { counts_orders: true, ..fleet }
+    /// of a core. Statuses count the orders received, and are sent at the interval that agents with
+    /// eight streams have.
+    pub fn for_load(entries: usize, size: usize, cpu_millis: u32) -> Self {
+        let mut fleet = Self::with_cpu(size, cpu_millis, LastReply::Started, Duration::ZERO);
+        fleet.schedulers = (0..entries).map(|_| new_scheduler(size)).collect();
+        fleet.hosts.iter_mut().for_each(|host| host.orders_seen = vec![0; entries]);
+        fleet.steps_per_status = STATUS_STEPS;
+        fleet.counts_orders = true;
+        fleet.steps = 0;
+        fleet.step();
+        fleet
     }
 
     fn with_cpu(size: usize, cpu_millis: u32, last_reply: LastReply, downtime: Duration) -> Self {
-        let mut scheduler = Scheduler::new(SETTINGS);
-        scheduler.on_tick(START - WARM_UP);
-        for number in 0..size {
-            scheduler.on_attached(START - WARM_UP, &agent(number), &[]);
-        }
+        let mut hosts: Vec<Host> = (0..size).map(|_| Host::new(cpu_millis)).collect();
+        hosts.iter_mut().for_each(|host| host.orders_seen = vec![0]);
         let mut fleet = Self {
             now: START,
-            scheduler,
-            hosts: (0..size).map(|_| Host::new(cpu_millis)).collect(),
+            schedulers: vec![new_scheduler(size)],
+            submitted: 0,
+            steps: 0,
+            hosts,
             last_reply,
             downtime,
             crashes: 0,
@@ -183,6 +206,7 @@
             contained: 0,
             yielded: 0,
             answers: Vec::new(),
+            steps_per_status: 1,
             counts_orders: false,
         };
         fleet.step();
@@ -190,32 +214,45 @@
     }
 
     pub fn submit(&mut self, spec: JobSpec) {
-        self.scheduler.submit(self.now, spec);
+        let entry = self.submitted % self.schedulers.len();
+        self.submitted += 1;
+        self.schedulers[entry].submit(self.now, spec);
         self.exchange();
     }
 
     /// Ends a job whose caller has left.
     pub fn abandon(&mut self, id: &str) {
-        self.scheduler.abandon(&id.parse().unwrap());
+        for scheduler in &mut self.schedulers {
+            scheduler.abandon(&id.parse().unwrap());
+        }
         self.exchange();
     }
 
     /// Advances the simulation by one step.
     pub fn step(&mut self) {
         self.now += STEP;
+        self.steps += 1;
         let now = self.now;
         for host in &mut self.hosts {
-            host.executor.on_entry_heartbeat(&entry(), now);
+            for number in 0..self.schedulers.len() {
+                host.executor.on_entry_heartbeat(&entry(number), now);
+            }
             host.advance(now);
             host.executor.on_tick(now);
         }
         self.exchange();
-        for (number, host) in self.hosts.iter().enumerate() {
-            let orders_seen = if self.counts_orders { host.orders_seen } else { 0 };
-            let status = EndpointStatus { orders_seen, ..host.executor.status(now) };
-            self.scheduler.on_status(now, &agent(number), status);
+        for (entry, scheduler) in self.schedulers.iter_mut().enumerate() {
+            for (number, host) in self.hosts.iter().enumerate() {
+                scheduler.on_heartbeat(now, &agent(number));
+                let turn = self.steps + u32::try_from(number).unwrap();
+                if turn.is_multiple_of(self.steps_per_status) || self.steps == 1 {
+                    let orders_seen = if self.counts_orders { host.orders_seen[entry] } else { 0 };
+                    let status = EndpointStatus { orders_seen, ..host.executor.status(now) };
+                    scheduler.on_status(now, &agent(number), status);
+                }
+            }
+            scheduler.on_tick(now);
         }
-        self.scheduler.on_tick(now);
         self.exchange();
     }
 
@@ -229,7 +266,12 @@
     /// Carries out actions until none is left.
     fn exchange(&mut self) {
         loop {
-            let actions = self.scheduler.take_actions();
+            let actions: Vec<(usize, Action)> = (0..self.schedulers.len())
+                .flat_map(|entry| {
+                    let actions = self.schedulers[entry].take_actions();
+                    actions.into_iter().map(move |action| (entry, action))
+                })
+                .collect();
             let host_actions: Vec<(usize, ExecutorAction)> = (0..self.hosts.len())
                 .flat_map(|number| {
                     let actions = self.hosts[number].executor.take_actions();
@@ -239,11 +281,10 @@
             if actions.is_empty() && host_actions.is_empty() {
                 return;
             }
-            let now = self.now;
-            self.answers
-                .extend(answers(&actions).into_iter().map(|(id, answer)| (now, id, answer)));
-            for action in actions {
-                self.carry_out(action);
+            for (entry, action) in actions {
+                let given = answers(std::slice::from_ref(&action));
+                self.answers.extend(given.into_iter().map(|(id, answer)| (self.now, id, answer)));
+                self.carry_out(entry, action);
             }
             for (number, action) in host_actions {
                 self.carry_out_at_host(number, action);
@@ -255,18 +296,18 @@
         (0..self.hosts.len()).find(|number| agent(*number) == *wanted).unwrap()
     }
 
-    fn carry_out(&mut self, action: Action) {
+    fn carry_out(&mut self, from: usize, action: Action) {
         match action {
             Action::Order(to, order) => {
                 self.orders += 1;
                 let number = self.host_of(&to);
-                let received = ReceivedOrder { entry: entry(), order };
-                self.hosts[number].orders_seen += 1;
+                let received = ReceivedOrder { entry: entry(from), order };
+                self.hosts[number].orders_seen[from] += 1;
                 self.hosts[number].executor.on_order(self.now, received);
             }
             Action::Cancel(to, run) => {
                 let number = self.host_of(&to);
-                self.hosts[number].executor.on_cancel(self.now, &entry(), &run);
+                self.hosts[number].executor.on_cancel(self.now, &entry(from), &run);
             }
             Action::Record(Decision::QueueContained { .. }) => self.contained += 1,
             Action::Record(Decision::Refused { yields_to: Some(_), .. }) => self.yielded += 1,
@@ -303,8 +344,9 @@
                     host.executor.on_stop_confirmed(now, &run);
                 }
             }
-            ExecutorAction::NotifyEntry(_, event) => {
-                self.scheduler.on_task_event(now, &agent(number), &event);
+            ExecutorAction::NotifyEntry(to, event) => {
+                let to = (0..self.schedulers.len()).find(|number| entry(*number) == to).unwrap();
+                self.schedulers[to].on_task_event(now, &agent(number), &event);
             }
         }
     }
@@ -332,7 +374,7 @@
             max_per_endpoint: 0,
             priority: 0,
         };
-        self.hosts[host].executor.on_order(self.now, ReceivedOrder { entry: entry(), order });
+        self.hosts[host].executor.on_order(self.now, ReceivedOrder { entry: entry(0), order });
         self.exchange();
     }
 
--- a/crates/dispatch/tests/testsuite/overload.rs
+++ b/crates/dispatch/tests/testsuite/overload.rs
@@ -1,7 +1,7 @@
 //! Bursts of one queue that meet full endpoints.
 //!
 //! The queues are those of `pzgs-grafik-grown` in docs/design/hard-load.md, at a quarter of their
-//! rates, on 12 endpoints with 16 cores and slowness 1.
+//! rates, at 4 entries and 12 endpoints with 16 cores and slowness 1.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -13,6 +13,7 @@
 use crate::fleet::Fleet;
 use crate::support::{agent, answers, job, ms, orders, scheduler_with, status};
 
+const ENTRIES: usize = 4;
 const ENDPOINTS: usize = 12;
 const ENDPOINT_CPU_MILLIS: u32 = 16_000;
 const TASK_CPU_MILLIS: u32 = 1300;
@@ -95,7 +96,7 @@
 
 impl Load {
     fn new(seed: u64) -> Self {
-        let fleet = Fleet::for_load(ENDPOINTS, ENDPOINT_CPU_MILLIS);
+        let fleet = Fleet::for_load(ENTRIES, ENDPOINTS, ENDPOINT_CPU_MILLIS);
         Self {
             fleet,
             seed: seed * 2 + 1,
