--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -10,8 +10,12 @@
 mod evacuation;
 mod message;
 mod migration;
+mod overload;
+mod retry_after;
 mod selection;
 mod task;
+mod usage;
+mod withdrawal;
 
 use std::time::Duration;
 
@@ -26,8 +30,10 @@
 use containment::Containment;
 use deferral::{DeferredJob, WarmUp};
 use endpoint::Endpoint;
+use overload::Overload;
 use selection::EndpointQuery;
 use task::{Job, Task, TaskState};
+use withdrawal::MAX_HOLD_TIME;
 
 pub use decision::Decision;
 pub use message::{Action, CrashRole, RunStatus, TaskEvent, TaskOrder};
@@ -78,6 +84,7 @@
     containment: Containment,
     /// Evacuated data centres.
     evacuated_sites: Vec<Site>,
+    overload: Overload,
     actions: Vec<Action>,
 }
 
@@ -94,6 +101,7 @@
             predictor: Predictor::default(),
             containment: Containment::default(),
             evacuated_sites: Vec::new(),
+            overload: Overload::default(),
             actions: Vec::new(),
         }
     }
@@ -148,7 +156,8 @@
         match self.admit(now, &job) {
             Ok(()) => self.start(now, job),
             Err(refusal) => {
-                if let Err((job, refusal)) = self.defer(now, job, refusal) {
+                if let Err(refused) = self.defer(now, job, refusal) {
+                    let (job, refusal) = *refused;
                     self.refuse(now, &job, refusal);
                 }
             }
@@ -158,6 +167,7 @@
     /// Places the first tasks of an admitted job.
     fn start(&mut self, now: Duration, job: Job) {
         let id = job.spec.id.clone();
+        self.record_demand(&job.spec, true);
         self.record_admitted(now, &job);
         self.jobs.insert(id.clone(), job);
         self.place_ready(now, &id);
@@ -176,11 +186,16 @@
     }
 
     fn refuse(&mut self, now: Duration, job: &Job, refusal: AdmissionRefusal) {
-        let AdmissionRefusal { reason, response_time, retry_after } = refusal;
+        let AdmissionRefusal { reason, response_time, yields_to, retry_after } = refusal;
+        if reason == RefusalReason::Load {
+            self.record_demand(&job.spec, false);
+        }
         let id = job.spec.id.clone();
         let decision = Decision::Refused {
             id: id.clone(),
             queue: job.spec.queue.clone(),
+            priority: job.spec.terms.priority,
+            yields_to,
             reason,
             load: self.load(&job.spec.service),
             endpoints: self.usable_endpoints(now),
@@ -207,12 +222,16 @@
 
     /// Places all tasks of a job whose dependencies are done.
     fn place_ready(&mut self, now: Duration, id: &RequestId) {
+        if self.is_withdrawn(id) {
+            self.settle_withdrawal(now, id);
+            return;
+        }
         let Some(job) = self.jobs.get(id) else {
             return;
         };
         for index in job.ready() {
             self.place_task(now, id, index);
-            if !self.jobs.contains(id) {
+            if !self.jobs.contains(id) || self.is_withdrawn(id) {
                 return;
             }
         }
@@ -220,6 +239,10 @@
 
     /// Sends a task to the best endpoint, or ends the job if the task can no longer succeed.
     fn place_task(&mut self, now: Duration, id: &RequestId, index: usize) {
+        if self.is_withdrawn(id) {
+            self.settle_withdrawal(now, id);
+            return;
+        }
         let Some(job) = self.jobs.get(id) else {
             return;
         };
@@ -267,7 +290,7 @@
         let Some(endpoint) = self.endpoints.get_mut(&selected.agent) else {
             return;
         };
-        endpoint.on_sent(resources);
+        endpoint.on_sent(resources, spec.terms.priority);
         let decision = Decision::Sent {
             run: order.run.clone(),
             agent: selected.agent.clone(),
@@ -288,25 +311,14 @@
             return;
         };
         job.tasks[index].state = TaskState::Waiting;
-        if now + MIN_TIME_LEFT > job.deadline || !job.has_started() || !has_endpoint {
-            self.end_unserved(now, id);
-        }
-    }
-
-    /// Ends a job that can no longer be served in time.
-    fn end_unserved(&mut self, now: Duration, id: &RequestId) {
-        let Some(job) = self.jobs.get(id) else {
-            return;
-        };
-        let retry_after = self.settings.entry_lease;
-        let answer = if job.may_have_started() {
-            Answer::GaveUp { reason: GiveUpReason::Deadline, retry_after }
-        } else if self.usable_endpoints(now) == 0 {
-            Answer::Refused { reason: RefusalReason::NoEndpoint, retry_after }
+        let min_time_left = if job.has_sent_tasks() && !job.is_known_to_have_started() {
+            MIN_TIME_LEFT + MAX_HOLD_TIME + CALLER_NETWORK_DELAY
         } else {
-            Answer::Refused { reason: RefusalReason::Load, retry_after }
+            MIN_TIME_LEFT
         };
-        self.end_job(id, Some(answer));
+        if now + min_time_left > job.deadline || !job.has_started() || !has_endpoint {
+            self.end_unserved(now, id);
+        }
     }
 
     /// Ends a job and cancels its tasks at agents.
@@ -381,16 +393,26 @@
                 self.place_task(now, &name.request, index);
             }
             RunStatus::Slow(left) => {
+                self.record_running(now, name, index);
                 let work = self.confirmed_work(now, name, index, left);
                 self.consider_move(now, name, index, agent, left, work);
             }
             RunStatus::Overrun(left) => {
+                self.record_running(now, name, index);
                 let work = self.observed_work(now, name, index, left);
                 self.consider_move(now, name, index, agent, left, work);
             }
         }
     }
 
+    /// Records that a task is known to run.
+    fn record_running(&mut self, now: Duration, name: &TaskName, index: usize) {
+        if let Some(job) = self.jobs.get_mut(&name.request) {
+            job.tasks[index].may_have_started = true;
+        }
+        self.settle_withdrawal(now, &name.request);
+    }
+
     fn find_sent(&self, name: &TaskName, agent: &AgentId, run_number: u32) -> Option<usize> {
         let job = self.jobs.get(&name.request)?;
         let index = job.index_of(name)?;
@@ -456,6 +478,8 @@
                 self.on_task_event(now, &agent, &TaskEvent { run, status: RunStatus::Stopped });
             }
         }
+        self.sample_usage(now);
+        self.expire_withdrawals(now);
         let is_timed_out = |job: &Job| now >= job.deadline;
         let ids: Vec<RequestId> = self
             .jobs
--- a/crates/dispatch/src/scheduler/decision.rs
+++ b/crates/dispatch/src/scheduler/decision.rs
@@ -34,6 +34,10 @@
         id: RequestId,
         /// Queue of the job.
         queue: CompactString,
+        /// Priority of the queue; 0 is the most urgent.
+        priority: u32,
+        /// Priority class that the capacity is left to, if the job was refused for its sake.
+        yields_to: Option<usize>,
         /// Reason for the refusal.
         reason: RefusalReason,
         /// Share of the service's processors in use or requested by queued tasks.
@@ -45,6 +49,21 @@
         /// Time until the objective of the job.
         objective: Duration,
     },
+    /// The tasks of a job that could no longer be served were taken back from agents.
+    Withdrawn {
+        /// Id of the job.
+        id: RequestId,
+        /// Queue of the job.
+        queue: CompactString,
+        /// Number of tasks in the job.
+        tasks: usize,
+        /// Number of tasks whose agents have not answered.
+        unconfirmed: usize,
+        /// Whether all tasks are confirmed as not started.
+        not_started: bool,
+        /// Time from the cancellation of the tasks to the answer.
+        held_for: Duration,
+    },
     /// A task was sent to an agent.
     Sent {
         /// The run that was sent.
@@ -118,15 +137,35 @@
                 objective.as_millis(),
                 deadline.as_millis()
             ),
-            Self::Refused { id, queue, reason, load, endpoints, response_time, objective } => {
+            Self::Refused {
+                id,
+                queue,
+                priority,
+                yields_to,
+                reason,
+                load,
+                endpoints,
+                response_time,
+                objective,
+            } => {
                 write!(
                     f,
                     "event=refused job={id} queue={queue} reason={reason} load={load:.2} \
-                 endpoints={endpoints} end_ms={} objective_ms={}",
+                     endpoints={endpoints} end_ms={} objective_ms={} priority={priority}",
                     response_time.as_millis(),
                     objective.as_millis()
-                )
+                )?;
+                match yields_to {
+                    Some(class) => write!(f, " yields_to={class}"),
+                    None => Ok(()),
+                }
             }
+            Self::Withdrawn { id, queue, tasks, unconfirmed, not_started, held_for } => write!(
+                f,
+                "event=withdrawn job={id} queue={queue} tasks={tasks} unconfirmed={unconfirmed} \
+                 not_started={not_started} ms={}",
+                held_for.as_millis()
+            ),
             Self::Sent { run, agent, wait, run_time, late_probability, status_age } => write!(
                 f,
                 "event=sent task={run} agent={agent} wait_ms={} takes_ms={} \
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -197,6 +197,8 @@
         self.metrics.count(match decision {
             Decision::Admitted { .. } => "job_admitted",
             Decision::Refused { .. } => "job_refused",
+            Decision::Withdrawn { not_started: true, .. } => "withdrawal_refused",
+            Decision::Withdrawn { not_started: false, .. } => "withdrawal_given_up",
             Decision::Sent { .. } => "task_sent",
             Decision::Returned { .. } => "task_back",
             Decision::Moved { .. } => "task_moved",
@@ -204,6 +206,9 @@
             Decision::QueueContained { .. } => "queue_contained",
             Decision::AgentLost { .. } => "agent_lost",
         });
+        if let Decision::Refused { priority, yields_to: Some(class), .. } = decision {
+            self.metrics.count(&format!("job_refused_p{priority}_for_p{class}"));
+        }
         log::info!("entry: {decision}");
     }
 
