--- a/crates/dispatch/tests/testsuite/overload.rs
+++ b/crates/dispatch/tests/testsuite/overload.rs
@@ -281,7 +281,7 @@
 }
 
 /// Returns the class for whose sake a long job of priority 2 is refused, after these statuses have
-/// been in force for some time.
+/// been in force for 3 s.
 fn yields_to(
     scheduler: &mut Scheduler,
     now: Duration,
@@ -295,6 +295,10 @@
         scheduler.on_tick(at);
         at += ms(10);
     }
+    submit_long_job(scheduler, at)
+}
+
+fn submit_long_job(scheduler: &mut Scheduler, at: Duration) -> Option<usize> {
     scheduler.take_actions();
     scheduler.submit(at, QUEUES[1].job(1));
     let actions = scheduler.take_actions();
@@ -376,3 +380,37 @@
         assert_eq!(found, None);
     }
 }
+
+/// Guards against an entry that fills the reserve of others after its restart.
+#[test]
+fn a_restarted_entry_leaves_the_reserve_from_its_first_statuses_on() {
+    let start = Duration::from_secs(10);
+    let busy = full([8000, 0, 20_000, 0], [0, 0, 4000, 0]);
+    let mut scheduler = scheduler_with(start, &[busy.clone(), busy]);
+    scheduler.on_tick(start + ms(10));
+    assert_eq!(submit_long_job(&mut scheduler, start + ms(10)), Some(0));
+}
+
+/// Guards against limits that count the capacity or the tasks of a VM whose link is lost.
+#[test]
+fn a_lost_endpoint_counts_neither_as_capacity_nor_as_used() {
+    struct Case {
+        name: &'static str,
+        lost: EndpointStatus,
+        left: EndpointStatus,
+        expected: Option<usize>,
+    }
+    let idle = status(32_000, 1.0);
+    let busy = full([8000, 0, 20_000, 0], [0, 0, 4000, 0]);
+    let cases = [
+        Case { name: "idle one lost", lost: idle.clone(), left: busy.clone(), expected: Some(0) },
+        Case { name: "busy one lost", lost: busy, left: idle, expected: None },
+    ];
+    for case in cases {
+        let start = Duration::from_secs(10);
+        let mut scheduler = scheduler_with(start, &[case.left.clone(), case.lost]);
+        scheduler.on_detached(start, &agent(1));
+        let found = yields_to(&mut scheduler, start, &[case.left]);
+        assert_eq!(found, case.expected, "{}", case.name);
+    }
+}
