Refuse no job for another one while capacity is free

The rule used means of a second only. It now also requires that the job would bring the capacity in use or requested above 95%.

--- a/crates/dispatch/src/scheduler/overload.rs
+++ b/crates/dispatch/src/scheduler/overload.rs
@@ -20,6 +20,9 @@
 const MEAN_PERIOD: Duration = Duration::from_secs(1);
 /// Need of all classes relative to the capacity from which the service is overloaded.
 const OVERLOAD_NEED: f64 = 0.9;
+/// Share of the capacity in use or requested, with the job, up to which no job is refused for another
+/// one.
+const FULL_SHARE: f64 = 0.95;
 /// Capacity kept for more urgent classes, relative to their need. Short tasks arrive in jobs of
 /// several, so that their usage varies.
 const RESERVE_FACTOR: f64 = 1.1;
@@ -128,6 +131,12 @@
         if needs.iter().sum::<f64>() <= OVERLOAD_NEED * usage.capacity {
             return None;
         }
+        // While capacity is free the job takes nothing from others: queues at agents start urgent
+        // tasks first, and short ones release their capacity soon.
+        let used: f64 = usage.used.iter().sum();
+        if used + job.cpu_millis <= FULL_SHARE * usage.capacity {
+            return None;
+        }
         let class = job.class;
         let urgent_need: f64 = needs[..class].iter().sum();
         // The job itself does not count, so that a class with jobs larger than its share is served.
