--- a/crates/daemon/src/entry/admin.rs
+++ b/crates/daemon/src/entry/admin.rs
@@ -5,9 +5,9 @@
 use cowslipwing_fold::{ActiveContract, ApplyOutcome, Fold, Terms};
 use cowslipwing_proto::{
     BatchWithdrawal, Contract, ContractChange, ContractInForce, ContractList, EndpointChange,
-    EndpointList, EndpointView, StatusView, record::Body,
+    EndpointList, EndpointView, SiteChange, StatusView, record::Body,
 };
-use cowslipwing_types::{BatchName, CustomerName, EndpointName, Version};
+use cowslipwing_types::{BatchName, CustomerName, EndpointName, Site, Version};
 use snafu::ResultExt;
 
 use super::append::append;
@@ -86,6 +86,21 @@
     append(shared, Body::Endpoint(change)).await.map(|_| ())
 }
 
+/// Evacuates a data centre if `evacuated` is `true`, and returns it to service otherwise.
+///
+/// # Errors
+///
+/// Returns an error if the name is invalid or the record is not read back from the log in time.
+pub(crate) async fn change_site(
+    shared: &Shared,
+    site: &str,
+    evacuated: bool,
+) -> Result<(), ApiError> {
+    let site: Site = site.parse().context(BadNameSnafu { field: "site" })?;
+    let change = SiteChange { site: site.to_string(), evacuated };
+    append(shared, Body::Site(change)).await.map(|_| ())
+}
+
 /// Withdraws the open jobs of a batch; entries refuse new jobs in it.
 ///
 /// # Errors
@@ -121,7 +136,8 @@
             slots: announcement.slots,
             credits,
             running,
-            withdrawn: announcement.leaving || link::is_withdrawn(shared, &announcement.endpoint),
+            withdrawn: announcement.leaving
+                || link::is_withdrawn(shared, &announcement.endpoint, &announcement.site),
             usable: shared.ranges().all(|range| usable_agents.is_usable(&members, range, id)),
         }
     };
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -45,6 +45,8 @@
         .route("/v1/endpoints", get(list_endpoints))
         .route("/v1/endpoints/{endpoint}/withdraw", post(withdraw_endpoint))
         .route("/v1/endpoints/{endpoint}/return", post(return_endpoint))
+        .route("/v1/sites/{site}/evacuate", post(evacuate_site))
+        .route("/v1/sites/{site}/return", post(return_site))
         .route("/v1/batches/{customer}/{batch}/withdraw", post(withdraw_batch))
         .route("/v1/status", get(status))
         .route("/health", get(health))
@@ -173,6 +175,14 @@
     result_response(admin::change_endpoint(&shared, &endpoint, false).await)
 }
 
+async fn evacuate_site(Extension(shared): State, PathParams(site): PathParams<String>) -> Response {
+    result_response(admin::change_site(&shared, &site, true).await)
+}
+
+async fn return_site(Extension(shared): State, PathParams(site): PathParams<String>) -> Response {
+    result_response(admin::change_site(&shared, &site, false).await)
+}
+
 async fn withdraw_batch(
     Extension(shared): State,
     PathParams((customer, batch)): PathParams<(String, String)>,
--- a/crates/daemon/src/entry/link.rs
+++ b/crates/daemon/src/entry/link.rs
@@ -6,7 +6,7 @@
 use cowslipwing_policy::Capacity;
 use cowslipwing_proto::agent_client::AgentClient;
 use cowslipwing_proto::{Announcement, FromAgent, StartTask, TaskId, ToAgent};
-use cowslipwing_types::{EndpointName, Epoch, Incarnation};
+use cowslipwing_types::{EndpointName, Epoch, Incarnation, Site};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio_stream::wrappers::ReceiverStream;
@@ -122,7 +122,7 @@
     reports::on_agent_lost(shared, id);
 }
 
-/// Updates which agents are leaving, after endpoints were withdrawn or returned.
+/// Updates which agents are leaving, after endpoints or data centres were withdrawn or returned.
 pub(crate) fn update_withdrawals(shared: &Arc<Shared>) {
     let announcements: Vec<_> = lock(&shared.links)
         .iter()
@@ -133,10 +133,13 @@
     }
 }
 
-/// Returns whether an operator has withdrawn an endpoint.
-pub(crate) fn is_withdrawn(shared: &Shared, endpoint: &str) -> bool {
-    let name = endpoint.parse::<EndpointName>();
-    name.is_ok_and(|name| shared.with_fold(|fold| fold.is_endpoint_withdrawn(&name)))
+/// Returns whether an operator has withdrawn an endpoint or evacuated its data centre.
+pub(crate) fn is_withdrawn(shared: &Shared, endpoint: &str, site: &str) -> bool {
+    let (name, site) = (endpoint.parse::<EndpointName>(), site.parse::<Site>());
+    shared.with_fold(|fold| {
+        name.is_ok_and(|name| fold.is_endpoint_withdrawn(&name))
+            || site.is_ok_and(|site| fold.is_site_evacuated(&site))
+    })
 }
 
 /// Updates an agent's capacity and whether it is leaving.
@@ -146,7 +149,8 @@
         memory_mb: announcement.memory_mb,
         slots: announcement.slots,
     };
-    let leaving = announcement.leaving || is_withdrawn(shared, name_of(id.as_str()));
+    let leaving =
+        announcement.leaving || is_withdrawn(shared, name_of(id.as_str()), &announcement.site);
     lock(&shared.dispatch).dispatcher.placement.set_agent(id, capacity, leaving);
 }
 
--- a/crates/daemon/src/entry/rpc.rs
+++ b/crates/daemon/src/entry/rpc.rs
@@ -103,7 +103,8 @@
         let announcement = req.into_inner();
         self.on_announcement(&announcement)?;
         let members = self.shared.members().iter().map(|(_, member)| member.clone()).collect();
-        let withdrawn = link::is_withdrawn(&self.shared, &announcement.endpoint);
+        let withdrawn =
+            link::is_withdrawn(&self.shared, &announcement.endpoint, &announcement.site);
         let next_offset = self.shared.with_fold(|fold| fold.next_offset().get());
         Ok(Response::new(AnnounceReply { members, withdrawn, next_offset }))
     }
--- a/crates/fold/src/fold.rs
+++ b/crates/fold/src/fold.rs
@@ -2,7 +2,7 @@
 
 use cowslipwing_proto::{self as proto, record::Body};
 use cowslipwing_types::{
-    BatchName, CustomerName, EndpointName, Epoch, MemberVersion, Offset, RANGES, RangeId,
+    BatchName, CustomerName, EndpointName, Epoch, MemberVersion, Offset, RANGES, RangeId, Site,
     SortedMap, Version,
 };
 
@@ -72,6 +72,7 @@
     pub(crate) next_offset: Offset,
     pub(crate) contracts: Contracts,
     pub(crate) withdrawn_endpoints: SortedMap<EndpointName, ()>,
+    pub(crate) evacuated_sites: SortedMap<Site, ()>,
     pub(crate) withdrawn_batches: Vec<(CustomerName, BatchName)>,
     pub(crate) membership: Membership,
     pub(crate) range_owners: RangeOwners,
@@ -103,6 +104,30 @@
         self.withdrawn_endpoints.contains(endpoint)
     }
 
+    /// Returns whether an operator has evacuated a data centre.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cowslipwing_fold::Fold;
+    /// use cowslipwing_proto::{Record, SiteChange, record::Body};
+    /// use cowslipwing_types::Offset;
+    ///
+    /// let change = |evacuated| Record {
+    ///     append_id: "a1".into(),
+    ///     body: Some(Body::Site(SiteChange { site: "athens".into(), evacuated })),
+    /// };
+    /// let site = "athens".parse().unwrap();
+    /// let mut fold = Fold::default();
+    /// fold.apply(Offset::new(0), &change(true));
+    /// assert!(fold.is_site_evacuated(&site));
+    /// fold.apply(Offset::new(1), &change(false));
+    /// assert!(!fold.is_site_evacuated(&site));
+    /// ```
+    pub fn is_site_evacuated(&self, site: &Site) -> bool {
+        self.evacuated_sites.contains(site)
+    }
+
     /// Returns whether a customer's batch has been withdrawn.
     ///
     /// Only the latest 4096 withdrawals are remembered.
@@ -144,6 +169,7 @@
         match body {
             Body::Contract(change) => self.apply_contract_change(change, append_id),
             Body::Endpoint(change) => self.apply_endpoint_change(change),
+            Body::Site(change) => self.apply_site_change(change),
             Body::Batch(withdrawal) => self.apply_batch_withdrawal(withdrawal),
             Body::Join(join) => self.apply_join(join),
             Body::Leave(leave) => self.apply_leave(leave),
@@ -187,6 +213,18 @@
         ApplyOutcome::Applied
     }
 
+    fn apply_site_change(&mut self, change: &proto::SiteChange) -> ApplyOutcome {
+        let Ok(site) = change.site.parse::<Site>() else {
+            return ApplyOutcome::Ignored;
+        };
+        if change.evacuated {
+            self.evacuated_sites.insert(site, ());
+        } else {
+            self.evacuated_sites.remove(&site);
+        }
+        ApplyOutcome::Applied
+    }
+
     fn apply_batch_withdrawal(&mut self, withdrawal: &proto::BatchWithdrawal) -> ApplyOutcome {
         let (Ok(customer), Ok(batch)) = (withdrawal.customer.parse(), withdrawal.batch.parse())
         else {
--- a/crates/fold/src/snapshot.rs
+++ b/crates/fold/src/snapshot.rs
@@ -53,6 +53,9 @@
         for name in &state.withdrawn_endpoints {
             fold.withdrawn_endpoints.insert(parse("endpoint", name)?, ());
         }
+        for name in &state.evacuated_sites {
+            fold.evacuated_sites.insert(parse("site", name)?, ());
+        }
         for batch in &state.withdrawn_batches {
             let customer = parse("customer", &batch.customer)?;
             fold.withdrawn_batches.push((customer, parse("batch", &batch.batch)?));
@@ -98,6 +101,7 @@
             members: fold.membership.current().iter().map(|(_, m)| m.clone()).collect(),
             previous_members: fold.membership.previous().iter().map(|(_, m)| m.clone()).collect(),
             ranges: ranges.collect(),
+            evacuated_sites: fold.evacuated_sites.keys().map(ToString::to_string).collect(),
         }
     }
 }
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -28,6 +28,7 @@
 //! store lose=N                     the store executes the next N writes without replying to them
 //! store forget | store retain=N    the store drops its history, or limits each topic to N records
 //! withdraw-endpoint NAME | withdraw-batch CUSTOMER BATCH
+//! evacuate-site NAME | return-site NAME
 //! idle NAME within=D for=D         wait for `within`, then check that the endpoint starts no task
 //!                                  during the time of `for`
 //! finish                           wait for the callers of all loads and evaluate their answers
@@ -217,7 +218,9 @@
             "freeze-endpoint" | "thaw-endpoint" => self.signal_endpoint(step),
             "cut" | "heal" => self.change_link(step),
             "store" => self.change_store(step),
-            "withdraw-endpoint" | "withdraw-batch" => self.withdraw(step).await,
+            "withdraw-endpoint" | "withdraw-batch" | "evacuate-site" | "return-site" => {
+                self.withdraw(step).await
+            }
             "idle" => self.expect_idle(step).await,
             "finish" => self.finish_loads().await,
             "expect" => self.expect_figure(step),
@@ -383,6 +386,8 @@
     async fn withdraw(&mut self, step: &Step) -> Result<(), TestkitError> {
         let path = match step.word(0)? {
             "withdraw-endpoint" => format!("/v1/endpoints/{}/withdraw", step.word(1)?),
+            "evacuate-site" => format!("/v1/sites/{}/evacuate", step.word(1)?),
+            "return-site" => format!("/v1/sites/{}/return", step.word(1)?),
             _ => format!("/v1/batches/{}/{}/withdraw", step.word(1)?, step.word(2)?),
         };
         let entry = self.first_entry_address(step)?;
