--- a/crates/cli/src/cmd/endpoint.rs
+++ b/crates/cli/src/cmd/endpoint.rs
@@ -103,7 +103,8 @@
 ) -> Result<(), CliError> {
     let path = format!("/v1/{kind}s/{name}/{action}");
     client.call::<()>(Method::POST, &path, None, Vec::new()).await?;
-    println!("{action} of {kind} {name} is in force");
+    let change = if action == "evacuate" { "evacuation" } else { action };
+    println!("{change} of {kind} {name} is in force");
     Ok(())
 }
 
--- a/crates/testkit/tests/testsuite/cli.rs
+++ b/crates/testkit/tests/testsuite/cli.rs
@@ -23,7 +23,7 @@
     let submission = dir.path().join("job.json").to_string_lossy().into_owned();
     std::fs::write(&contract, CONTRACT).unwrap();
     std::fs::write(&submission, job("shop", 2, "hold")).unwrap();
-    let commands: [&[&str]; 8] = [
+    let commands: [&[&str]; 11] = [
         &["contract", "publish", "shop", &contract],
         &["contract", "publish", "shop", &contract],
         &["contract", "amend", "--base", "1", "shop", &contract],
@@ -32,6 +32,9 @@
         &["job", "show", "shop", "hold-1"],
         &["job", "show", "shop", "hold-2"],
         &["endpoint", "withdraw", "e1"],
+        &["endpoint", "evacuate", "loopback"],
+        &["endpoint", "end-evacuation", "loopback"],
+        &["endpoint", "evacuate", "no,place"],
     ];
     let mut transcript = String::new();
     for command in commands {
