--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -46,5 +46,6 @@
 pub use route::{Route, RouteTable};
 pub use samples::{EndpointCondition, Samples, SlownessEstimator};
 pub use scheduler::{
-    Action, CrashRole, Decision, RunStatus, Scheduler, SchedulerSettings, TaskEvent, TaskOrder,
+    Action, CrashRole, Decision, RackChoice, RackDecision, RackSurvey, RunStatus, Scheduler,
+    SchedulerSettings, TaskEvent, TaskOrder,
 };
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -14,9 +14,9 @@
 
 /// Time from sending an order until the endpoint starts the task, plus the time for the answer to
 /// return.
-const TRANSFER_TIME: Duration = Duration::from_millis(12);
+pub(crate) const TRANSFER_TIME: Duration = Duration::from_millis(12);
 /// Standard deviation of the transfer time, in seconds.
-const TRANSFER_STD_DEV: f64 = 0.008;
+pub(crate) const TRANSFER_STD_DEV: f64 = 0.008;
 /// Weight of the squared load of an endpoint, relative to the risk of missing the objective.
 const LOAD_WEIGHT: f64 = 0.25;
 /// Weight of the failure rate of an endpoint, relative to the risk of missing the objective.
@@ -24,11 +24,11 @@
 /// Scale at which the logistic function approximates the normal distribution.
 const LOGISTIC_SCALE: f64 = 1.702;
 /// Value of a late answer, relative to one in time.
-const LATE_ANSWER_VALUE: f64 = 0.2;
+pub(crate) const LATE_ANSWER_VALUE: f64 = 0.2;
 /// Standard deviation of an endpoint's slowness, relative to the slowness.
-const SLOWNESS_REL_STD_DEV: f64 = 0.15;
+pub(crate) const SLOWNESS_REL_STD_DEV: f64 = 0.15;
 /// Standard deviation of a predicted wait, relative to the wait.
-const WAIT_REL_STD_DEV: f64 = 0.4;
+pub(crate) const WAIT_REL_STD_DEV: f64 = 0.4;
 /// Minimum standard deviation, in seconds.
 const MIN_STD_DEV: f64 = 0.001;
 /// Lower bound of the slowness used in predictions.
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -7,6 +7,7 @@
 mod decision;
 mod deferral;
 mod endpoint;
+mod locality;
 mod message;
 mod migration;
 mod selection;
@@ -25,10 +26,12 @@
 use containment::Containment;
 use deferral::{DeferredJob, WarmUp};
 use endpoint::Endpoint;
+use locality::NearWaits;
 use selection::EndpointQuery;
 use task::{Job, Task, TaskState};
 
 pub use decision::Decision;
+pub use locality::{RackChoice, RackDecision, RackSurvey};
 pub use message::{Action, CrashRole, RunStatus, TaskEvent, TaskOrder};
 
 /// Network delay between the caller's first attempt and the arrival of the request, and likewise
@@ -75,6 +78,7 @@
     warm_up: WarmUp,
     predictor: Predictor,
     containment: Containment,
+    near_waits: NearWaits,
     actions: Vec<Action>,
 }
 
@@ -90,6 +94,7 @@
             warm_up: WarmUp::default(),
             predictor: Predictor::default(),
             containment: Containment::default(),
+            near_waits: NearWaits::default(),
             actions: Vec::new(),
         }
     }
@@ -220,6 +225,15 @@
             return;
         };
         let (spec, name) = (job.spec.clone(), job.tasks[index].name.clone());
+        let has_data_rack = spec.steps[usize::from(name.step)].data_rack.is_some();
+        let rack_choice =
+            if has_data_rack { self.wait_or_choose_rack(now, id, index) } else { RackChoice::Any };
+        if matches!(rack_choice, RackChoice::Wait { .. }) {
+            return;
+        }
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
         let tasks_per_agent = job.tasks_per_agent(name.step);
         let step = &spec.steps[usize::from(name.step)];
         let task = &job.tasks[index];
@@ -228,15 +242,21 @@
             avoid,
             excluded_vms: &task.excluded_vms,
             tasks_per_agent: &tasks_per_agent,
+            rack_choice,
             ..EndpointQuery::initial(step, task.rotation())
         };
-        let selected = self.select_endpoint(now, job, query);
+        let selected = self.select_endpoint(now, job, query).or_else(|| {
+            let query = EndpointQuery { rack_choice: RackChoice::Any, ..query };
+            if has_data_rack { self.select_endpoint(now, job, query) } else { None }
+        });
         let Some(selected) = selected else {
             self.keep_waiting_or_end(now, id, index);
             return;
         };
         let forecast = selected.forecast;
-        if forecast.timeout_probability > MAX_TIMEOUT_PROBABILITY {
+        // The task was admitted, and is not refused because of its wait for the rack of its data.
+        let has_waited = task.near_wait.is_some() && task.last_run == 0;
+        if forecast.timeout_probability > MAX_TIMEOUT_PROBABILITY && !has_waited {
             self.end_unserved(now, id);
             return;
         }
@@ -273,6 +293,9 @@
             status_age: now.saturating_sub(endpoint.heard_at),
         };
         self.actions.push(Action::Record(decision));
+        if has_data_rack {
+            self.record_rack(now, id, index, &selected.agent);
+        }
         self.actions.push(Action::Order(selected.agent, order));
     }
 
@@ -284,7 +307,8 @@
             return;
         };
         job.tasks[index].state = TaskState::Waiting;
-        if now + MIN_TIME_LEFT > job.deadline || !job.has_started() || !has_endpoint {
+        let may_wait = job.has_started() || job.tasks[index].near_wait.is_some();
+        if now + MIN_TIME_LEFT > job.deadline || !may_wait || !has_endpoint {
             self.end_unserved(now, id);
         }
     }
@@ -307,9 +331,10 @@
 
     /// Ends a job and cancels its tasks at agents.
     fn end_job(&mut self, id: &RequestId, answer: Option<Answer>) {
-        let Some(job) = self.jobs.remove(id) else {
+        let Some(mut job) = self.jobs.remove(id) else {
             return;
         };
+        self.drop_near_waits(&mut job);
         for task in &job.tasks {
             if let TaskState::Sent { agent, cancelled: false, .. } = &task.state {
                 let run = TaskRun { task: task.name.clone(), number: task.last_run };
@@ -463,6 +488,7 @@
             self.end_unserved(now, &id);
         }
         self.retry_deferred(now);
+        self.review_near_waits(now);
         self.place_waiting(now);
     }
 }
--- a/crates/dispatch/src/scheduler/agents.rs
+++ b/crates/dispatch/src/scheduler/agents.rs
@@ -85,6 +85,7 @@
         endpoint.heard_at = now;
         endpoint.on_status(status);
         self.retry_deferred(now);
+        self.review_near_waits_at(now, agent);
         self.place_waiting(now);
     }
 }
--- a/crates/dispatch/src/scheduler/decision.rs
+++ b/crates/dispatch/src/scheduler/decision.rs
@@ -5,7 +5,7 @@
 
 use compact_str::CompactString;
 
-use crate::id::{AgentId, RequestId, TaskRun};
+use crate::id::{AgentId, RequestId, TaskName, TaskRun};
 use crate::job::RefusalReason;
 
 use super::RunStatus;
@@ -99,6 +99,40 @@
         /// Number of endpoints that its tasks may use.
         endpoints: usize,
     },
+    /// A task waits for a place on the rack of its data.
+    NearWaitBegun {
+        /// Name of the task.
+        task: TaskName,
+        /// Rack of its data.
+        rack: CompactString,
+        /// Expected time until a place is free.
+        expected: Duration,
+        /// Longest time for which the task waits.
+        within: Duration,
+    },
+    /// A task that has waited for the rack of its data was sent there.
+    NearWaitPaidOff {
+        /// Name of the task.
+        task: TaskName,
+        /// Time for which it has waited.
+        waited: Duration,
+    },
+    /// A task that has waited for the rack of its data was sent elsewhere, or its job has ended.
+    NearWaitLost {
+        /// Name of the task.
+        task: TaskName,
+        /// Time for which it has waited.
+        waited: Duration,
+    },
+    /// A task was sent to an endpoint on another rack than that of its data.
+    FarFromData {
+        /// Name of the task.
+        task: TaskName,
+        /// Rack of its data.
+        rack: CompactString,
+        /// Agent that it was sent to.
+        agent: AgentId,
+    },
     /// An agent was silent until all leases expired, so that none of its tasks can still run.
     AgentLost {
         /// The agent.
@@ -151,6 +185,21 @@
             Self::QueueContained { queue, endpoints } => {
                 write!(f, "event=contained queue={queue} endpoints={endpoints}")
             }
+            Self::NearWaitBegun { task, rack, expected, within } => write!(
+                f,
+                "event=near-wait task={task} rack={rack} expected_ms={} within_ms={}",
+                expected.as_millis(),
+                within.as_millis()
+            ),
+            Self::NearWaitPaidOff { task, waited } => {
+                write!(f, "event=near-wait-paid task={task} waited_ms={}", waited.as_millis())
+            }
+            Self::NearWaitLost { task, waited } => {
+                write!(f, "event=near-wait-lost task={task} waited_ms={}", waited.as_millis())
+            }
+            Self::FarFromData { task, rack, agent } => {
+                write!(f, "event=far task={task} rack={rack} agent={agent}")
+            }
             Self::AgentLost { agent, silence } => {
                 write!(f, "event=lost agent={agent} silence_ms={}", silence.as_millis())
             }
--- a/crates/dispatch/src/scheduler/selection.rs
+++ b/crates/dispatch/src/scheduler/selection.rs
@@ -9,8 +9,8 @@
 use crate::placement::{Candidate, Forecast, PlacementRequest};
 use crate::predictor::WorkEstimate;
 
-use super::Scheduler;
 use super::task::Job;
+use super::{RackChoice, Scheduler};
 
 /// Maximum number of endpoints compared for a task.
 const MAX_CANDIDATES: usize = 96;
@@ -47,6 +47,8 @@
     pub(super) excluded_vms: &'a [CompactString],
     /// Number of tasks of the step at each agent.
     pub(super) tasks_per_agent: &'a [(AgentId, u32)],
+    /// Restriction to the rack of the data or to the others; it applies to steps that name a rack.
+    pub(super) rack_choice: RackChoice,
 }
 
 impl<'a> EndpointQuery<'a> {
@@ -59,6 +61,7 @@
             avoid: None,
             excluded_vms: &[],
             tasks_per_agent: &[],
+            rack_choice: RackChoice::Any,
         }
     }
 }
@@ -109,10 +112,16 @@
             {
                 continue;
             }
-            let data_is_remote =
-                step.data_rack.as_ref().is_some_and(|rack| *rack != endpoint.status.rack);
-            let distance_ratio =
-                if data_is_remote { self.settings.remote_run_time_ratio } else { 1.0 };
+            let distance_ratio = match &step.data_rack {
+                None => 1.0,
+                Some(rack) => {
+                    let is_near = *rack == endpoint.status.rack;
+                    if query.rack_choice.excludes(is_near) {
+                        continue;
+                    }
+                    if is_near { 1.0 } else { self.settings.remote_run_time_ratio }
+                }
+            };
             let candidate =
                 Candidate { status: &endpoint.status, free: endpoint.free(), distance_ratio };
             let forecast = candidate.forecast(&request);
@@ -159,7 +168,7 @@
 }
 
 /// Returns whether an agent already has as many tasks of the step as the limit allows.
-fn is_step_limit_reached(
+pub(super) fn is_step_limit_reached(
     step: &StepSpec,
     agent: &AgentId,
     tasks_per_agent: &[(AgentId, u32)],
--- a/crates/dispatch/src/scheduler/task.rs
+++ b/crates/dispatch/src/scheduler/task.rs
@@ -8,6 +8,7 @@
 use crate::job::JobSpec;
 
 use super::crashes::CrashCount;
+use super::locality::TaskWait;
 use super::{CrashRole, RunStatus};
 
 /// The location of a task.
@@ -46,6 +47,8 @@
     pub(super) may_have_started: bool,
     /// Number of a run that was reported as slow, and the work that its progress showed.
     pub(super) slow_run: Option<(u32, Duration)>,
+    /// Wait for the rack of the data, if there was any.
+    pub(super) near_wait: Option<TaskWait>,
 }
 
 impl Task {
@@ -60,6 +63,7 @@
             avoid: None,
             may_have_started: false,
             slow_run: None,
+            near_wait: None,
         }
     }
 
@@ -179,6 +183,7 @@
     pub(super) fn ready(&self) -> Vec<usize> {
         let is_ready = |task: &Task| {
             task.state == TaskState::Waiting
+                && !task.is_waiting_for_rack()
                 && self.spec.steps[usize::from(task.name.step)]
                     .depends_on
                     .iter()
@@ -189,7 +194,9 @@
     }
 
     pub(super) fn has_waiting(&self) -> bool {
-        self.tasks.iter().any(|task| task.state == TaskState::Waiting)
+        let is_waiting =
+            |task: &Task| task.state == TaskState::Waiting && !task.is_waiting_for_rack();
+        self.tasks.iter().any(is_waiting)
     }
 
     pub(super) fn is_done(&self) -> bool {
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -196,6 +196,10 @@
             Decision::Moved { .. } => "task_moved",
             Decision::CrashLimitReached { .. } => "crash_limit_reached",
             Decision::QueueContained { .. } => "queue_contained",
+            Decision::NearWaitBegun { .. } => "near_wait_begun",
+            Decision::NearWaitPaidOff { .. } => "near_wait_paid_off",
+            Decision::NearWaitLost { .. } => "near_wait_lost",
+            Decision::FarFromData { .. } => "task_far_from_data",
             Decision::AgentLost { .. } => "agent_lost",
         });
         log::info!("entry: {decision}");
