--- a/crates/dispatch/tests/testsuite/main.rs
+++ b/crates/dispatch/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod deferral;
 mod executor;
 mod fleet;
+mod locality;
 mod placement;
 mod reply_tracker;
 mod scheduler;
--- a/crates/load/src/bin/cowslipwing-cost.rs
+++ b/crates/load/src/bin/cowslipwing-cost.rs
@@ -5,6 +5,10 @@
 use std::time::{Duration, Instant};
 
 use cowslipwing_claims::{KeyAgeLimits, Ledger, LedgerLimits, Report, Stage, StartRequest};
+use cowslipwing_dispatch::{
+    ContractTerms, EndpointStatus, FreeResources, JobSpec, Resources, Scheduler, SchedulerSettings,
+    StepSpec,
+};
 use cowslipwing_fold::Fold;
 use cowslipwing_policy::{Capacity, Dispatcher, QueuedJob, Requirements, TaskResult};
 use cowslipwing_proto::{
@@ -38,6 +42,11 @@
     for tasks in [10_000, 100_000] {
         print_row("start and end a task at an agent", tasks, ledger_micros(tasks));
     }
+    for endpoints in [60, 300] {
+        print_row("submit, no rack, by endpoints", endpoints, submit_micros(endpoints, None));
+        print_row("submit, near place free", endpoints, submit_micros(endpoints, Some("r0")));
+        print_row("submit, wait for a near place", endpoints, submit_micros(endpoints, Some("r1")));
+    }
     println!("\n{:<34} {:>12}", "memory", "bytes each");
     println!("{:<34} {:>12}", "task remembered by an agent", ledger_task_bytes());
     println!("{:<34} {:>12}", "contract in a fold", contract_bytes());
@@ -93,6 +102,91 @@
     started.elapsed().as_secs_f64() * MICROS_PER_SECOND / f64::from(repetitions)
 }
 
+/// Returns the time in microseconds to submit and cancel a job of one task at an entry. Rack `r1` is
+/// full, and the other 29 are idle.
+///
+/// A submission without a rack checks the admission and selects the endpoint. One that names a rack
+/// decides about a wait in addition, so the difference is the cost of that decision. A task that
+/// waits is not placed, which saves the second selection.
+fn submit_micros(endpoints: usize, rack: Option<&str>) -> f64 {
+    const BATCHES: u32 = 200;
+    // Orders stay in flight without a status, so that a longer batch would fill endpoints.
+    const JOBS_PER_BATCH: u32 = 25;
+    let now = Duration::from_secs(100);
+    let spec = rack_job(rack);
+    let mut micros = 0.0;
+    for _ in 0..BATCHES {
+        let mut scheduler = rack_scheduler(now, endpoints);
+        scheduler.take_actions();
+        let started = Instant::now();
+        for _ in 0..JOBS_PER_BATCH {
+            scheduler.submit(now, spec.clone());
+            scheduler.cancel(&spec.id);
+            black_box(scheduler.take_actions());
+        }
+        micros += micros_each(started, JOBS_PER_BATCH);
+    }
+    micros / f64::from(BATCHES)
+}
+
+fn rack_scheduler(now: Duration, endpoints: usize) -> Scheduler {
+    const RACKS: usize = 30;
+    let capacity = Resources { cpu_millis: 64_000, memory_mb: 65_536, gpus: 0 };
+    let mut scheduler = Scheduler::new(SchedulerSettings {
+        entry_lease: Duration::from_millis(600),
+        endpoint_lease: Duration::from_millis(500),
+        suspect_after: Duration::from_millis(400),
+        remote_run_time_ratio: 3.0,
+    });
+    for number in 0..endpoints {
+        let agent = format!("side-{number}@1").parse().expect("the id is valid");
+        let rack = number % RACKS;
+        let mut free = FreeResources::from_capacity(capacity);
+        if rack == 1 {
+            free.reserve(capacity);
+        }
+        let status = EndpointStatus {
+            usable: true,
+            service: "desk".into(),
+            rack: format!("r{rack}").into(),
+            capacity,
+            free,
+            mean_remaining: Duration::from_millis(100),
+            slowness: 1.0,
+            ..EndpointStatus::default()
+        };
+        scheduler.on_attached(now, &agent, &[]);
+        scheduler.on_status(now, &agent, status);
+    }
+    scheduler
+}
+
+fn rack_job(rack: Option<&str>) -> JobSpec {
+    let step = StepSpec {
+        count: 1,
+        resources: Resources { cpu_millis: 1000, memory_mb: 64, gpus: 0 },
+        declared_run_time: Duration::from_millis(300),
+        depends_on: Vec::new(),
+        required_label: None,
+        data_rack: rack.map(Into::into),
+        max_per_endpoint: 0,
+    };
+    JobSpec {
+        id: "job-1".parse().expect("the id is valid"),
+        queue: "queue".into(),
+        service: "desk".into(),
+        payload: "payload".into(),
+        steps: vec![step],
+        terms: ContractTerms {
+            max_attempts: 3,
+            stretch: 1.6,
+            target_latency: Duration::from_millis(60),
+            priority: 0,
+        },
+        caller_timeout: Duration::from_millis(1500),
+    }
+}
+
 fn contract_change(customer: &CustomerName, base_version: u64) -> Record {
     let contract = Contract {
         share: 1,
