--- a/crates/dispatch/tests/testsuite/locality.rs
+++ b/crates/dispatch/tests/testsuite/locality.rs
@@ -203,37 +203,48 @@
     assert_eq!(choose(32_000.0), RackChoice::Far);
 }
 
-/// Returns the shares of tasks and of work in time over several seeds.
-fn shares(policy: Policy, per_second: f64, hot_share: f64) -> (f64, f64) {
-    let outcomes: Vec<Outcome> =
-        (1..=3).map(|seed| replay(policy, Arrivals { per_second, hot_share, seed })).collect();
-    let mean = |share: fn(&Outcome) -> f64| outcomes.iter().map(share).sum::<f64>() / 3.0;
-    let shares = (mean(Outcome::share_in_time), mean(Outcome::share_of_work_in_time));
-    println!("{per_second}/s, hot {hot_share}, {policy:?}: {shares:.3?}");
-    shares
+/// A hot rack, and a full fleet.
+const LOADS: [(f64, f64); 2] = [(160.0, 0.6), (290.0, 0.0)];
+
+/// Returns the shares of tasks and of work in time over several seeds, for each of [`LOADS`].
+fn shares(policy: Policy, entries: usize) -> [(f64, f64); 2] {
+    LOADS.map(|(per_second, hot_share)| {
+        let run = |seed| replay(policy, Arrivals { per_second, hot_share, seed, entries });
+        let outcomes: Vec<Outcome> = (1..=3).map(run).collect();
+        let mean = |share: fn(&Outcome) -> f64| outcomes.iter().map(share).sum::<f64>() / 3.0;
+        let shares = (mean(Outcome::share_in_time), mean(Outcome::share_of_work_in_time));
+        println!("{entries} entries, {per_second}/s, hot {hot_share}, {policy:?}: {shares:.3?}");
+        shares
+    })
 }
 
 /// On a hot rack, tasks that all wait come too late; on a full fleet, tasks that do not wait take
 /// twice the capacity. No fixed wait suits both.
 #[test]
 fn decided_waits_serve_more_in_time_than_no_wait_and_fixed_waits() {
-    let hot = |policy| shares(policy, 160.0, 0.6);
-    let full = |policy| shares(policy, 290.0, 0.0);
-    let (hot_decided, full_decided) = (hot(Policy::Scheduler), full(Policy::Scheduler));
-    for policy in [NO_WAIT, Policy::FixedWait(ms(50)), Policy::FixedWait(ms(150))] {
-        let (hot_other, full_other) = (hot(policy), full(policy));
-        assert!(hot_decided.0 > hot_other.0 && hot_decided.1 > hot_other.1, "{policy:?}");
-        assert!(hot_decided.0 + full_decided.0 > hot_other.0 + full_other.0, "{policy:?}");
-        assert!(hot_decided.1 + full_decided.1 > hot_other.1 + full_other.1, "{policy:?}");
+    let no_wait = shares(NO_WAIT, 1);
+    let fixed = [50, 150].map(|wait| shares(Policy::FixedWait(ms(wait)), 1));
+    let [hot, full] = shares(Policy::Scheduler, 1);
+    for other in [no_wait, fixed[0], fixed[1]] {
+        assert!(hot.0 > other[0].0 && hot.1 > other[0].1, "{hot:?} {other:?}");
+        assert!(hot.0 + full.0 > other[0].0 + other[1].0, "{hot:?} {full:?} {other:?}");
+        assert!(hot.1 + full.1 > other[0].1 + other[1].1, "{hot:?} {full:?} {other:?}");
+    }
+    assert!(full.0 > no_wait[1].0 && full.1 > no_wait[1].1);
+    // Entries do not know of each other's waiting tasks and may expect the same place.
+    let [hot, full] = shares(Policy::Scheduler, 4);
+    for other in [no_wait, fixed[0], fixed[1]] {
+        assert!(hot.0 + full.0 > other[0].0 + other[1].0, "{hot:?} {full:?} {other:?}");
     }
-    let full_other = full(NO_WAIT);
-    assert!(full_decided.0 > full_other.0 && full_decided.1 > full_other.1);
 }
 
 /// On an idle fleet each task finds a place near its data, and none may wait.
 #[test]
 fn nothing_waits_on_an_idle_fleet() {
-    let outcome = replay(Policy::Scheduler, Arrivals { per_second: 40.0, hot_share: 0.0, seed: 1 });
+    let outcome = replay(
+        Policy::Scheduler,
+        Arrivals { per_second: 40.0, hot_share: 0.0, seed: 1, entries: 1 },
+    );
     assert_eq!((outcome.waits, outcome.waits_lost), (0, 0));
     assert_eq!((outcome.in_time, outcome.near), (outcome.tasks, outcome.tasks));
 }
--- a/crates/dispatch/tests/testsuite/locality/replay.rs
+++ b/crates/dispatch/tests/testsuite/locality/replay.rs
@@ -36,6 +36,8 @@
     /// Share of the tasks that name the first rack; the others name any rack.
     pub hot_share: f64,
     pub seed: u64,
+    /// Number of entries, which do not know of each other's waiting tasks.
+    pub entries: usize,
 }
 
 /// What a replay has shown.
@@ -72,14 +74,16 @@
 struct Host {
     running: Vec<(Duration, usize)>,
     queue: VecDeque<usize>,
-    orders: u64,
+    /// Number of orders from each entry.
+    orders: Vec<u64>,
 }
 
 struct Replay {
     now: Duration,
     jobs: Vec<Job>,
     hosts: Vec<Host>,
-    scheduler: Scheduler,
+    /// One for each entry.
+    schedulers: Vec<Scheduler>,
     outcome: Outcome,
 }
 
@@ -113,12 +117,17 @@
     let mut random = Random(arrivals.seed);
     let mut settings = SETTINGS;
     settings.remote_run_time_ratio = REMOTE_RATIO;
-    let mut scheduler = Scheduler::new(settings);
-    scheduler.on_tick(START - WARM_UP);
-    (0..ENDPOINTS).for_each(|host| scheduler.on_attached(START - WARM_UP, &agent(host), &[]));
-    let hosts = (0..ENDPOINTS).map(|_| Host::default()).collect();
+    let new_scheduler = || {
+        let mut scheduler = Scheduler::new(settings);
+        scheduler.on_tick(START - WARM_UP);
+        (0..ENDPOINTS).for_each(|host| scheduler.on_attached(START - WARM_UP, &agent(host), &[]));
+        scheduler
+    };
+    let schedulers = (0..arrivals.entries).map(|_| new_scheduler()).collect();
+    let new_host = || Host { orders: vec![0; arrivals.entries], ..Host::default() };
+    let hosts = (0..ENDPOINTS).map(|_| new_host()).collect();
     let outcome = Outcome::default();
-    let mut replay = Replay { now: START, jobs: Vec::new(), hosts, scheduler, outcome };
+    let mut replay = Replay { now: START, jobs: Vec::new(), hosts, schedulers, outcome };
     let mut next_arrival = START + STEP;
     let mut held: Vec<usize> = Vec::new();
     while replay.now < START + Duration::from_secs(8) {
@@ -164,7 +173,8 @@
                 self.outcome.near += u32::from(rack_of(host) == job.rack);
                 if let Some(run) = job.run.clone() {
                     let status = RunStatus::Done(self.run_time(host, index));
-                    self.scheduler.on_task_event(now, &agent(host), &TaskEvent { run, status });
+                    let event = TaskEvent { run, status };
+                    self.scheduler_of(index).on_task_event(now, &agent(host), &event);
                 }
             }
             self.start_queued(host);
@@ -181,13 +191,18 @@
             let job = &self.jobs[index];
             if end + TRANSFER <= job.arrived + job.work.mul_f64(1.6) + ms(60) {
                 self.hosts[host].running.push((end, index));
-            } else if let Some(run) = &job.run {
-                self.scheduler.cancel(&run.task.request);
+            } else if let Some(run) = job.run.clone() {
+                self.scheduler_of(index).cancel(&run.task.request);
             }
         }
     }
 
-    fn status(&self, host: usize) -> EndpointStatus {
+    fn scheduler_of(&mut self, index: usize) -> &mut Scheduler {
+        let entries = self.schedulers.len();
+        &mut self.schedulers[index % entries]
+    }
+
+    fn status(&self, host: usize, entry: usize) -> EndpointStatus {
         let Host { running, queue, orders } = &self.hosts[host];
         let mut status = status(1000 * SLOTS as u32, 1.0);
         status.rack = rack_name(rack_of(host)).into();
@@ -195,35 +210,41 @@
         queue.iter().for_each(|_| status.queued.add(Some(ms(100)), 1000));
         let left: Duration = running.iter().map(|(end, _)| *end - self.now).sum();
         status.mean_remaining = left / running.len().max(1) as u32;
-        status.orders_seen = *orders;
+        status.orders_seen = orders[entry];
         status
     }
 
     fn report(&mut self) {
-        for host in 0..ENDPOINTS {
-            let status = self.status(host);
-            self.scheduler.on_status(self.now, &agent(host), status);
+        for entry in 0..self.schedulers.len() {
+            for host in 0..ENDPOINTS {
+                let status = self.status(host, entry);
+                self.schedulers[entry].on_status(self.now, &agent(host), status);
+            }
+            self.schedulers[entry].on_tick(self.now);
         }
-        self.scheduler.on_tick(self.now);
         self.carry_out();
     }
 
     fn submit(&mut self, indices: Vec<usize>) {
         for index in indices {
             let spec = spec_of(index, &self.jobs[index]);
-            self.scheduler.submit(self.now, spec);
+            let now = self.now;
+            self.scheduler_of(index).submit(now, spec);
             self.carry_out();
         }
     }
 
     fn carry_out(&mut self) {
-        for action in self.scheduler.take_actions() {
+        let actions: Vec<Action> =
+            self.schedulers.iter_mut().flat_map(Scheduler::take_actions).collect();
+        for action in actions {
             match action {
                 Action::Order(to, order) => {
                     let host = (0..ENDPOINTS).find(|host| agent(*host) == to).unwrap();
                     let index: usize = order.run.task.request.to_string()[1..].parse().unwrap();
                     self.jobs[index].run = Some(order.run);
-                    self.hosts[host].orders += 1;
+                    let entry = index % self.schedulers.len();
+                    self.hosts[host].orders[entry] += 1;
                     self.hosts[host].queue.push_back(index);
                     self.start_queued(host);
                 }
--- a/crates/load/src/bin/cowslipwing-cost.rs
+++ b/crates/load/src/bin/cowslipwing-cost.rs
@@ -46,6 +46,8 @@
         print_row("submit, no rack, by endpoints", endpoints, submit_micros(endpoints, None));
         print_row("submit, near place free", endpoints, submit_micros(endpoints, Some("r0")));
         print_row("submit, wait for a near place", endpoints, submit_micros(endpoints, Some("r1")));
+        print_row("tick, nothing waits", endpoints, tick_micros(endpoints, None));
+        print_row("tick, one decision about a wait", endpoints, tick_micros(endpoints, Some("r1")));
     }
     println!("\n{:<34} {:>12}", "memory", "bytes each");
     println!("{:<34} {:>12}", "task remembered by an agent", ledger_task_bytes());
@@ -103,11 +105,7 @@
 }
 
 /// Returns the time in microseconds to submit and cancel a job of one task at an entry. Rack `r1` is
-/// full, and the other 29 are idle.
-///
-/// A submission without a rack checks the admission and selects the endpoint. One that names a rack
-/// decides about a wait in addition, so the difference is the cost of that decision. A task that
-/// waits is not placed, which saves the second selection.
+/// full, and the other 29 are idle. A task that waits is not placed, which saves a selection.
 fn submit_micros(endpoints: usize, rack: Option<&str>) -> f64 {
     const BATCHES: u32 = 200;
     // Orders stay in flight without a status, so that a longer batch would fill endpoints.
@@ -129,6 +127,23 @@
     micros / f64::from(BATCHES)
 }
 
+/// Returns the time in microseconds of a tick. If a task waits for a rack, the tick decides about it
+/// once, so the difference is the cost of the decision.
+fn tick_micros(endpoints: usize, rack: Option<&str>) -> f64 {
+    const TICKS: u32 = 20_000;
+    let now = Duration::from_secs(100);
+    let mut scheduler = rack_scheduler(now, endpoints);
+    scheduler.submit(now, rack_job(rack));
+    scheduler.take_actions();
+    let started = Instant::now();
+    for _ in 0..TICKS {
+        scheduler.on_tick(black_box(now));
+    }
+    let micros = micros_each(started, TICKS);
+    assert_eq!(scheduler.unstarted_jobs("queue"), usize::from(rack.is_some()));
+    micros
+}
+
 fn rack_scheduler(now: Duration, endpoints: usize) -> Scheduler {
     const RACKS: usize = 30;
     let capacity = Resources { cpu_millis: 64_000, memory_mb: 65_536, gpus: 0 };
