--- a/crates/dispatch/src/scheduler/agents.rs
+++ b/crates/dispatch/src/scheduler/agents.rs
@@ -87,6 +87,7 @@
         endpoint.evacuated =
             evacuation::is_evacuated(&self.evacuated_sites, endpoint.status.site.as_str());
         self.retry_deferred(now);
+        self.review_near_waits_at(now, agent);
         self.place_waiting(now);
     }
 }
--- a/crates/dispatch/tests/testsuite/main.rs
+++ b/crates/dispatch/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod evacuation;
 mod executor;
 mod fleet;
+mod locality;
 mod overload;
 mod placement;
 mod reply_tracker;
