--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -2,12 +2,15 @@
 //!
 //! Resources are reserved before a start is sent. They are released when the endpoint lists the end
 //! of the run, or when the start can no longer be carried out. During short bursts of load, tasks
-//! that do not fit at once wait in the order of their latest useful start, and return to their
+//! that do not fit at once wait in the order of priority and latest useful start, and return to their
 //! entry when that moment has passed.
 
+mod evacuation;
 mod held_task;
 mod incarnation;
 mod listing;
+mod progress;
+mod queue_order;
 mod report;
 mod start;
 mod status;
@@ -17,6 +20,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use cowslipwing_types::SortedMap;
 
 use crate::id::{EntryId, TaskName, TaskRun};
@@ -24,6 +28,7 @@
 use crate::samples::{Samples, SlownessEstimator};
 use crate::scheduler::{CrashRole, RunStatus, TaskEvent};
 
+use evacuation::ColdStart;
 use held_task::{HeldTask, Phase};
 
 pub use report::{
@@ -34,8 +39,8 @@
 /// Lowest rate at which the endpoint's clock may run, relative to the agent's clock.
 const MIN_CLOCK_RATE: f64 = 0.98;
 
-/// Lease durations that an executor applies.
-#[derive(Clone, Copy, Debug)]
+/// Settings of an executor.
+#[derive(Clone, Debug)]
 pub struct ExecutorSettings {
     /// Time for which the tasks of an entry are kept after the last contact with it.
     pub entry_lease: Duration,
@@ -43,6 +48,8 @@
     pub endpoint_lease: Duration,
     /// Longest lease that the endpoint grants.
     pub longest_lease: Duration,
+    /// Data centre of the agent and its endpoint.
+    pub site: CompactString,
 }
 
 /// An action that the agent must carry out.
@@ -87,7 +94,7 @@
     entry_leases: SortedMap<EntryId, Duration>,
     slowness_estimator: SlownessEstimator,
     /// Outcomes of recent runs: 0 if the task completed, 1 if it failed or if its start was refused
-    /// as [`StartRefusal::Unhealthy`].
+    /// as [`StartRefusal::Unhealthy`] or [`StartRefusal::NotSent`].
     failures: Samples,
     /// Tasks that are suspected of a crash of the endpoint, oldest first.
     crash_suspects: VecDeque<TaskName>,
@@ -95,6 +102,12 @@
     is_listening: bool,
     /// Whether the agent is stopping and accepts no tasks.
     is_draining: bool,
+    /// Whether the data centre is evacuated, so that no task may start.
+    is_evacuated: bool,
+    /// Time until which the endpoint is slow after its start, by its most recent report.
+    cold_until: Duration,
+    /// Limit of the endpoint's use after an evacuation, if it was cold when the evacuation ended.
+    cold_start: Option<ColdStart>,
     actions: Vec<ExecutorAction>,
 }
 
@@ -117,6 +130,9 @@
             crash_suspects: VecDeque::new(),
             is_listening: true,
             is_draining: false,
+            is_evacuated: false,
+            cold_until: Duration::ZERO,
+            cold_start: None,
             actions: Vec::new(),
         }
     }
@@ -210,6 +226,7 @@
             return;
         }
         let is_refused = self.is_draining
+            || self.is_evacuated
             || self.held.contains(&name)
             || self.endpoint.as_ref().is_none_or(|endpoint| {
                 endpoint.draining || !endpoint.capacity.can_fit(order.resources)
--- a/crates/dispatch/src/executor/status.rs
+++ b/crates/dispatch/src/executor/status.rs
@@ -6,6 +6,8 @@
 
 use crate::id::RequestId;
 use crate::placement::{EndpointStatus, QueuedCpu};
+use crate::priority::CpuByPriority;
+use crate::samples::EndpointCondition;
 
 use super::Executor;
 use super::held_task::Phase;
@@ -21,7 +23,7 @@
         let Some(endpoint) = &self.endpoint else {
             return EndpointStatus::default();
         };
-        let free = self.unreserved();
+        let free = self.offered(now);
         let slowness = self.slowness(now);
         let (failure_rate, sample_count) = self.failures.mean(now);
         EndpointStatus {
@@ -29,6 +31,7 @@
             service: endpoint.service.clone(),
             kind: endpoint.kind.clone(),
             rack: endpoint.rack.clone(),
+            site: self.settings.site.clone(),
             capacity: endpoint.capacity,
             free,
             mean_remaining: self.mean_remaining(now, slowness),
@@ -41,11 +44,22 @@
                 failure_rate
             },
             orders_seen: 0,
+            started_cpu: self.cpu_by_priority(|phase| phase != Phase::Queued),
+            queued_cpu: self.cpu_by_priority(|phase| phase == Phase::Queued),
         }
     }
 
     /// Returns the current slowness of the endpoint, estimated from ended and running tasks.
     pub(super) fn slowness(&self, now: Duration) -> f64 {
+        self.slowness_estimator.current(now, self.projected_slowness_by_job())
+    }
+
+    /// Returns whether the recent tasks run as is usual at the endpoint.
+    pub(super) fn condition(&self, now: Duration) -> EndpointCondition {
+        self.slowness_estimator.condition(now, self.projected_slowness_by_job())
+    }
+
+    fn projected_slowness_by_job(&self) -> Vec<f64> {
         // Run times of the tasks of a job are off by a similar factor, so each job counts once.
         let mut slowness_by_job: SortedMap<&RequestId, f64> = SortedMap::new();
         for (name, held) in self.held.iter() {
@@ -53,7 +67,7 @@
                 slowness_by_job.insert(&name.request, projected_slowness);
             }
         }
-        self.slowness_estimator.current(now, slowness_by_job.into_values())
+        slowness_by_job.into_values()
     }
 
     /// Returns the processor time that queued tasks require, by the time until their latest useful
@@ -67,6 +81,18 @@
         queued
     }
 
+    /// Returns the processor time of the tasks in the phases for which `predicate` holds.
+    fn cpu_by_priority<F>(&self, predicate: F) -> CpuByPriority
+    where
+        F: Fn(Phase) -> bool,
+    {
+        let mut cpu = CpuByPriority::default();
+        for held in self.held.values().filter(|held| predicate(held.phase)) {
+            cpu.add(held.priority, held.resources.cpu_millis);
+        }
+        cpu
+    }
+
     fn mean_remaining(&self, now: Duration, slowness: f64) -> Duration {
         let started = self.held.values().filter(|held| held.phase != Phase::Queued);
         let (sum, count) = started.fold((Duration::ZERO, 0u32), |(sum, count), held| {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,11 +18,14 @@
 //!   next.
 
 mod attachment;
+mod connection_budget;
+mod evacuation;
 mod executor;
 mod id;
 mod job;
 mod placement;
 mod predictor;
+mod priority;
 mod reply_tracker;
 mod resources;
 mod route;
@@ -30,6 +33,11 @@
 mod scheduler;
 
 pub use attachment::{KnownEntry, MAX_ENTRIES_PER_AGENT, select_entries};
+pub use connection_budget::{ConnectionBudget, ConnectionDecision, ConnectionLoad};
+pub use evacuation::{
+    EvacuationFeed, EvacuationNotice, EvacuationNotices, EvacuationState, EvacuationVersion,
+    Evacuations, FullEvacuationRead,
+};
 pub use executor::{
     EndpointReport, Executor, ExecutorAction, ExecutorSettings, Listing, ReceivedOrder, RunOutcome,
     StartOutcome, StartRefusal, TaskEnd, TaskProgress,
@@ -37,13 +45,16 @@
 pub use id::{AgentId, EntryId, IdError, RequestId, TaskName, TaskRun};
 pub use job::{Answer, ContractTerms, GiveUpReason, JobSpec, RefusalReason, StepSpec};
 pub use placement::{
-    Candidate, EndpointStatus, Forecast, PlacementRequest, QueuedCpu, exceedance_probability,
+    Candidate, DEFAULT_REMOTE_RUN_TIME_RATIO, EndpointStatus, Forecast, PlacementRequest,
+    QueuedCpu, exceedance_probability,
 };
 pub use predictor::{Predictor, WorkEstimate};
+pub use priority::{CpuByPriority, PRIORITY_CLASSES, priority_class};
 pub use reply_tracker::{EndpointActivity, ReplyTracker};
 pub use resources::{FreeResources, Resources};
 pub use route::{Route, RouteTable};
-pub use samples::{Samples, SlownessEstimator};
+pub use samples::{EndpointCondition, Samples, SlownessEstimator};
 pub use scheduler::{
-    Action, CrashRole, Decision, RunStatus, Scheduler, SchedulerSettings, TaskEvent, TaskOrder,
+    Action, CrashRole, Decision, RackChoice, RackDecision, RackSurvey, RunStatus, Scheduler,
+    SchedulerSettings, TaskEvent, TaskOrder,
 };
--- a/crates/dispatch/src/scheduler/decision.rs
+++ b/crates/dispatch/src/scheduler/decision.rs
@@ -5,7 +5,7 @@
 
 use compact_str::CompactString;
 
-use crate::id::{AgentId, RequestId, TaskRun};
+use crate::id::{AgentId, RequestId, TaskName, TaskRun};
 use crate::job::RefusalReason;
 
 use super::RunStatus;
@@ -34,6 +34,10 @@
         id: RequestId,
         /// Queue of the job.
         queue: CompactString,
+        /// Priority of the queue; 0 is the most urgent.
+        priority: u32,
+        /// Priority class that the capacity is left to, if the job was refused for its sake.
+        yields_to: Option<usize>,
         /// Reason for the refusal.
         reason: RefusalReason,
         /// Share of the service's processors in use or requested by queued tasks.
@@ -45,6 +49,21 @@
         /// Time until the objective of the job.
         objective: Duration,
     },
+    /// The tasks of a job that could no longer be served were taken back from agents.
+    Withdrawn {
+        /// Id of the job.
+        id: RequestId,
+        /// Queue of the job.
+        queue: CompactString,
+        /// Number of tasks in the job.
+        tasks: usize,
+        /// Number of tasks whose agents have not answered.
+        unconfirmed: usize,
+        /// Whether all tasks are confirmed as not started.
+        not_started: bool,
+        /// Time from the cancellation of the tasks to the answer.
+        held_for: Duration,
+    },
     /// A task was sent to an agent.
     Sent {
         /// The run that was sent.
@@ -99,6 +118,40 @@
         /// Number of endpoints that its tasks may use.
         endpoints: usize,
     },
+    /// A task waits for a place on the rack of its data.
+    NearWaitBegun {
+        /// Name of the task.
+        task: TaskName,
+        /// Rack of its data.
+        rack: CompactString,
+        /// Expected time until a place is free.
+        expected: Duration,
+        /// Longest time for which the task waits.
+        within: Duration,
+    },
+    /// A task that has waited for the rack of its data was sent there.
+    NearWaitPaidOff {
+        /// Name of the task.
+        task: TaskName,
+        /// Time for which it has waited.
+        waited: Duration,
+    },
+    /// A task that has waited for the rack of its data was sent elsewhere, or its job has ended.
+    NearWaitLost {
+        /// Name of the task.
+        task: TaskName,
+        /// Time for which it has waited.
+        waited: Duration,
+    },
+    /// A task was sent to an endpoint on another rack than that of its data.
+    FarFromData {
+        /// Name of the task.
+        task: TaskName,
+        /// Rack of its data.
+        rack: CompactString,
+        /// Agent that it was sent to.
+        agent: AgentId,
+    },
     /// An agent was silent until all leases expired, so that none of its tasks can still run.
     AgentLost {
         /// The agent.
@@ -118,15 +171,35 @@
                 objective.as_millis(),
                 deadline.as_millis()
             ),
-            Self::Refused { id, queue, reason, load, endpoints, response_time, objective } => {
+            Self::Refused {
+                id,
+                queue,
+                priority,
+                yields_to,
+                reason,
+                load,
+                endpoints,
+                response_time,
+                objective,
+            } => {
                 write!(
                     f,
                     "event=refused job={id} queue={queue} reason={reason} load={load:.2} \
-                 endpoints={endpoints} end_ms={} objective_ms={}",
+                     endpoints={endpoints} end_ms={} objective_ms={} priority={priority}",
                     response_time.as_millis(),
                     objective.as_millis()
-                )
+                )?;
+                match yields_to {
+                    Some(class) => write!(f, " yields_to={class}"),
+                    None => Ok(()),
+                }
             }
+            Self::Withdrawn { id, queue, tasks, unconfirmed, not_started, held_for } => write!(
+                f,
+                "event=withdrawn job={id} queue={queue} tasks={tasks} unconfirmed={unconfirmed} \
+                 not_started={not_started} ms={}",
+                held_for.as_millis()
+            ),
             Self::Sent { run, agent, wait, run_time, late_probability, status_age } => write!(
                 f,
                 "event=sent task={run} agent={agent} wait_ms={} takes_ms={} \
@@ -151,6 +224,21 @@
             Self::QueueContained { queue, endpoints } => {
                 write!(f, "event=contained queue={queue} endpoints={endpoints}")
             }
+            Self::NearWaitBegun { task, rack, expected, within } => write!(
+                f,
+                "event=near-wait task={task} rack={rack} expected_ms={} within_ms={}",
+                expected.as_millis(),
+                within.as_millis()
+            ),
+            Self::NearWaitPaidOff { task, waited } => {
+                write!(f, "event=near-wait-paid task={task} waited_ms={}", waited.as_millis())
+            }
+            Self::NearWaitLost { task, waited } => {
+                write!(f, "event=near-wait-lost task={task} waited_ms={}", waited.as_millis())
+            }
+            Self::FarFromData { task, rack, agent } => {
+                write!(f, "event=far task={task} rack={rack} agent={agent}")
+            }
             Self::AgentLost { agent, silence } => {
                 write!(f, "event=lost agent={agent} silence_ms={}", silence.as_millis())
             }
--- a/crates/dispatch/tests/testsuite/main.rs
+++ b/crates/dispatch/tests/testsuite/main.rs
@@ -1,12 +1,17 @@
 //! Tests of scheduling decisions under the loads and faults that they are designed for.
 
 mod attachment;
+mod connection_budget;
 mod crashes;
 mod deferral;
+mod evacuation;
 mod executor;
 mod fleet;
+mod locality;
+mod overload;
 mod placement;
 mod reply_tracker;
 mod scheduler;
 mod simulation;
 mod support;
+mod withdrawal;
--- a/crates/dispatch/tests/testsuite/simulation.rs
+++ b/crates/dispatch/tests/testsuite/simulation.rs
@@ -150,6 +150,7 @@
             entry_lease: ms(600),
             endpoint_lease: ms(500),
             longest_lease: LONGEST_LEASE,
+            site: "here".into(),
         };
         let mut simulation = Self {
             now: ms(10_000),
@@ -182,6 +183,7 @@
             kind: "a".into(),
             rack: "r1".into(),
             draining: false,
+            cold_remaining: Duration::ZERO,
             sequence: 1,
         };
         self.executor.on_report(self.now, report);
@@ -277,6 +279,7 @@
             abandon_after: ms(700),
             end_within: ms(1400),
             max_per_endpoint: 0,
+            priority: 0,
         };
         self.executor.on_order(self.now, ReceivedOrder { entry: entry(), order });
     }
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -1,5 +1,6 @@
 //! The agent's event loop, which passes events to the executor and executes the resulting actions.
 
+mod evacuation;
 mod frames;
 
 use std::net::SocketAddr;
@@ -8,8 +9,9 @@
 
 use compact_str::CompactString;
 use cowslipwing_dispatch::{
-    AgentId, EndpointActivity, EndpointReport, EntryId, Executor, ExecutorAction, ExecutorSettings,
-    Listing, ReceivedOrder, RunStatus, StartOutcome, TaskEvent, TaskRun,
+    AgentId, EndpointActivity, EndpointReport, EntryId, EvacuationFeed, Evacuations, Executor,
+    ExecutorAction, ExecutorSettings, Listing, ReceivedOrder, RunStatus, StartOutcome, TaskEvent,
+    TaskRun,
 };
 use cowslipwing_platform::EndpointError;
 use cowslipwing_proto::{self as proto, AgentFrame, AgentHello, EntryFrame};
@@ -19,7 +21,9 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::endpoint_calls::EndpointCalls;
-use crate::convert::{event_to_proto, millis, order_from_proto, status_to_proto};
+use crate::convert::{
+    evacuation_to_proto, event_to_proto, millis, orders_from_proto, status_to_proto,
+};
 use crate::members::{Members, parse_addresses};
 use crate::metrics::Metrics;
 use crate::wire_ids::{run_from_proto, run_to_proto};
@@ -43,6 +47,8 @@
         /// The listing, or the reason why there is none.
         result: Result<Listing, EndpointError>,
     },
+    /// The next list request may be sent.
+    ListingDue,
     /// The outcome of a start request.
     StartReply(TaskRun, StartOutcome),
     /// The endpoint has confirmed that a run is stopped.
@@ -101,6 +107,7 @@
     sent_at: Duration,
     /// Whether the status has changed since it was last sent.
     status_changed: bool,
+    evacuation_feed: EvacuationFeed,
     /// Time since which the entry is no longer selected. The stream takes no new orders and is
     /// closed once no task of the entry is held.
     retiring_since: Option<Duration>,
@@ -125,11 +132,15 @@
     reports: watch::Sender<Option<EndpointReport>>,
     calls: EndpointCalls,
     executor: Executor,
+    /// Data centre of this VM.
+    site: CompactString,
+    /// Known evacuations of data centres.
+    evacuations: Evacuations,
     /// Streams to entries. A stream that has ended stays here with a closed sender.
     streams: SortedMap<EntryId, EntryStream>,
     /// Task events for entries without an open stream.
     unsent_events: SortedMap<EntryId, Vec<proto::TaskEvent>>,
-    /// Whether a list request has been sent and not answered yet.
+    /// Whether a list request has been sent and the next one is not due yet.
     listing_in_flight: bool,
     /// Whether the endpoint answered the last list request.
     is_reachable: bool,
@@ -145,10 +156,12 @@
         handles: SharedHandles,
         calls: EndpointCalls,
     ) -> Self {
+        let site: CompactString = config.site.as_str().into();
         let settings = ExecutorSettings {
             entry_lease: ENTRY_LEASE,
             endpoint_lease: ENDPOINT_LEASE.min(config.longest_lease),
             longest_lease: config.longest_lease,
+            site: site.clone(),
         };
         Self {
             id,
@@ -158,6 +171,8 @@
             reports: handles.reports,
             calls,
             executor: Executor::new(settings),
+            site,
+            evacuations: Evacuations::default(),
             streams: SortedMap::new(),
             unsent_events: SortedMap::new(),
             listing_in_flight: false,
@@ -210,6 +225,7 @@
                 self.mark_status_changed();
             }
             Event::ListReply { endpoint_id, result } => self.on_listing(now, &endpoint_id, result),
+            Event::ListingDue => self.listing_in_flight = false,
             Event::StartReply(run, outcome) => {
                 if outcome != StartOutcome::Started {
                     self.metrics.count("start_not_confirmed");
@@ -270,7 +286,6 @@
         endpoint_id: &str,
         result: Result<Listing, EndpointError>,
     ) {
-        self.listing_in_flight = false;
         match result {
             Ok(listing) => {
                 if !self.is_reachable {
@@ -310,16 +325,21 @@
         log::info!("agent: event=attached entry={entry} address={address}");
         self.remove_previous_incarnations(now, &entry, address);
         self.members.add(parse_addresses(&first.entries));
+        self.learn_evacuations(now, &entry, &first.evacuations);
+        let mut evacuation_feed = EvacuationFeed::default();
+        let announced = evacuation_feed.take(&self.evacuations);
         // The entry sends orders on this stream only after it has received this hello.
         let hello = AgentHello {
             agent: self.id.to_string(),
             held: self.executor.held_for(&entry).iter().map(run_to_proto).collect(),
+            accepts_same_work: true,
         };
         let frame = AgentFrame {
             hello: Some(hello),
             clock_ms: millis(now),
             status: Some(status_to_proto(&self.executor.status(now))),
             events: self.unsent_events.remove(&entry).unwrap_or_default(),
+            evacuations: announced.iter().map(evacuation_to_proto).collect(),
         };
         // If the stream has already ended, a `StreamClosed` event follows.
         let _ = tx.send(frame);
@@ -330,6 +350,7 @@
             events: Vec::new(),
             sent_at: now,
             status_changed: false,
+            evacuation_feed,
             retiring_since: None,
             close,
         };
@@ -372,6 +393,7 @@
     }
 
     fn on_frame(&mut self, now: Duration, entry: &EntryId, frame: EntryFrame) {
+        self.learn_evacuations(now, entry, &frame.evacuations);
         if frame.heard_ms > 0 {
             self.executor.on_entry_heartbeat(entry, Duration::from_millis(frame.heard_ms));
         }
@@ -381,8 +403,8 @@
         if let Some(stream) = self.streams.get_mut(entry) {
             stream.orders_seen += frame.orders.len() as u64;
         }
-        for wire in frame.orders {
-            match order_from_proto(wire) {
+        for order in orders_from_proto(frame.orders) {
+            match order {
                 Some(order) => {
                     log::debug!(
                         "agent: event=order task={} work_ms={} cpu_millis={} slowness={:.2}",
@@ -445,6 +467,9 @@
             }
             status => {
                 self.metrics.count("task_not_done");
+                if status == RunStatus::NotStarted && self.executor.is_evacuated() {
+                    self.metrics.count("evacuation_task_returned");
+                }
                 if matches!(status, RunStatus::Crashed(_)) {
                     self.metrics.count("task_lost_in_crash");
                 }
--- a/crates/node/src/convert.rs
+++ b/crates/node/src/convert.rs
@@ -1,15 +1,20 @@
 //! Conversion of messages between agents and entries from and to the types of the dispatch crate.
 //! Some fields have other names on the wire, such as `fate` for the status of a run.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use cowslipwing_dispatch::{
-    CrashRole, EndpointStatus, FreeResources, QueuedCpu, Resources, RunStatus, TaskEvent, TaskOrder,
+    CpuByPriority, CrashRole, EndpointStatus, EvacuationState, EvacuationVersion, FreeResources,
+    QueuedCpu, Resources, RunStatus, TaskEvent, TaskOrder,
 };
 use cowslipwing_proto as proto;
 
 use crate::wire_ids::{run_from_proto, run_to_proto};
 
+#[cfg(test)]
+mod tests;
+
 /// Value of the ratio 1 in percent.
 const PERCENT: f64 = 100.0;
 
@@ -38,14 +43,39 @@
         give_up_ms: millis32(order.abandon_after),
         end_within_ms: millis32(order.end_within),
         most_here: order.max_per_endpoint,
+        priority: order.priority,
+        same_work: false,
+    }
+}
+
+/// Leaves out the payload of each order that has the same one as the order before. The tasks of a job
+/// share their payload, which is most of a frame.
+pub(crate) fn share_payloads(orders: &mut [proto::TaskOrder]) {
+    for index in (1..orders.len()).rev() {
+        if orders[index].work == orders[index - 1].work {
+            orders[index].work.clear();
+            orders[index].same_work = true;
+        }
     }
 }
 
+/// Converts the orders of a frame, with `None` for each that has no valid run.
+pub(crate) fn orders_from_proto(orders: Vec<proto::TaskOrder>) -> Vec<Option<TaskOrder>> {
+    let mut payload: Arc<str> = Arc::default();
+    let convert = |wire: proto::TaskOrder| {
+        if !wire.same_work {
+            payload = wire.work.as_str().into();
+        }
+        order_from_proto(&wire, payload.clone())
+    };
+    orders.into_iter().map(convert).collect()
+}
+
 /// Converts an order from its message; returns `None` if it has no valid run.
-pub(crate) fn order_from_proto(wire: proto::TaskOrder) -> Option<TaskOrder> {
+fn order_from_proto(wire: &proto::TaskOrder, payload: Arc<str>) -> Option<TaskOrder> {
     Some(TaskOrder {
         run: run_from_proto(wire.run.as_ref()?)?,
-        payload: wire.work.into(),
+        payload,
         resources: Resources {
             cpu_millis: wire.cpu_millis,
             memory_mb: wire.memory_mb,
@@ -56,6 +86,7 @@
         abandon_after: from_millis32(wire.give_up_ms),
         end_within: from_millis32(wire.end_within_ms),
         max_per_endpoint: wire.most_here,
+        priority: wire.priority,
     })
 }
 
@@ -112,6 +143,7 @@
         service: status.service.to_string(),
         kind: status.kind.to_string(),
         rack: status.rack.to_string(),
+        site: status.site.to_string(),
         cpu_millis: status.capacity.cpu_millis,
         memory_mb: status.capacity.memory_mb,
         gpus: status.capacity.gpus,
@@ -123,6 +155,8 @@
         failing_percent: (status.failure_rate * PERCENT) as u32,
         orders_seen: status.orders_seen,
         queued_cpu_millis: status.queued.classes.to_vec(),
+        started_by_priority: status.started_cpu.classes.to_vec(),
+        queued_by_priority: status.queued_cpu.classes.to_vec(),
     }
 }
 
@@ -132,6 +166,7 @@
         service: wire.service.as_str().into(),
         kind: wire.kind.as_str().into(),
         rack: wire.rack.as_str().into(),
+        site: wire.site.as_str().into(),
         capacity: Resources {
             cpu_millis: wire.cpu_millis,
             memory_mb: wire.memory_mb,
@@ -147,7 +182,34 @@
         slowness: f64::from(wire.slowness_percent) / PERCENT,
         failure_rate: f64::from(wire.failing_percent) / PERCENT,
         orders_seen: wire.orders_seen,
+        started_cpu: by_priority_from_proto(&wire.started_by_priority),
+        queued_cpu: by_priority_from_proto(&wire.queued_by_priority),
+    }
+}
+
+pub(crate) fn evacuation_to_proto(state: &EvacuationState) -> proto::EvacuationState {
+    proto::EvacuationState {
+        site: state.site.to_string(),
+        version: state.version.0,
+        active: state.active,
+    }
+}
+
+/// Converts a state from its message; returns `None` if it has no valid data centre.
+pub(crate) fn evacuation_from_proto(wire: &proto::EvacuationState) -> Option<EvacuationState> {
+    Some(EvacuationState {
+        site: wire.site.parse().ok()?,
+        version: EvacuationVersion(wire.version),
+        active: wire.active,
+    })
+}
+
+fn by_priority_from_proto(wire: &[u32]) -> CpuByPriority {
+    let mut cpu = CpuByPriority::default();
+    for (priority, cpu_millis) in (0u32..).zip(wire) {
+        cpu.add(priority, *cpu_millis);
     }
+    cpu
 }
 
 fn queued_from_proto(wire: &[u32]) -> QueuedCpu {
