--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -226,13 +226,14 @@
         };
         let (spec, name) = (job.spec.clone(), job.tasks[index].name.clone());
         let has_data_rack = spec.steps[usize::from(name.step)].data_rack.is_some();
-        let rack_choice =
-            if has_data_rack { self.wait_or_choose_rack(now, id, index) } else { RackChoice::Any };
-        if matches!(rack_choice, RackChoice::Wait { .. }) {
-            return;
-        }
-        let Some(job) = self.jobs.get(id) else {
-            return;
+        let (rack_choice, job) = if has_data_rack {
+            let choice = self.wait_or_choose_rack(now, id, index);
+            match (choice, self.jobs.get(id)) {
+                (RackChoice::Wait { .. }, _) | (_, None) => return,
+                (_, Some(job)) => (choice, job),
+            }
+        } else {
+            (RackChoice::Any, job)
         };
         let tasks_per_agent = job.tasks_per_agent(name.step);
         let step = &spec.steps[usize::from(name.step)];
--- a/crates/dispatch/src/scheduler/selection.rs
+++ b/crates/dispatch/src/scheduler/selection.rs
@@ -84,7 +84,9 @@
         let EndpointQuery { step, rotation, observed_work, avoid, excluded_vms, .. } = query;
         let suspect_after = self.settings.suspect_after;
         let count = self.endpoints.len();
-        let stride = count.div_ceil(MAX_CANDIDATES).max(1);
+        // A rack has few endpoints, and a subset of all endpoints may contain none of them.
+        let is_near_only = query.rack_choice == RackChoice::Near;
+        let stride = if is_near_only { 1 } else { count.div_ceil(MAX_CANDIDATES).max(1) };
         let max_failure_rate = self.max_failure_rate(now);
         let spec = &job.spec;
         let predicted = self.predictor.predict_work(&spec.queue, step.declared_run_time);
--- a/crates/dispatch/tests/testsuite/locality.rs
+++ b/crates/dispatch/tests/testsuite/locality.rs
@@ -169,6 +169,18 @@
     assert!(orders(&scheduler.take_actions()).is_empty());
 }
 
+/// A fleet of which only a part is compared for each task must not hide the near rack.
+#[test]
+fn a_near_place_is_found_among_many_endpoints() {
+    let far: Vec<EndpointStatus> = (0..299).map(|_| endpoint("far", 16)).collect();
+    let mut scheduler = scheduler(3.0, &[vec![endpoint("near", 16)], far].concat());
+    let mut spec = near_job();
+    spec.steps[0].count = 8;
+    scheduler.submit(START, spec);
+    let orders = orders(&scheduler.take_actions());
+    assert_eq!(orders.iter().filter(|(to, _)| *to == agent(0)).count(), 8);
+}
+
 /// Tasks that name no rack must be placed as if there were no racks.
 #[test]
 fn without_a_rack_nothing_depends_on_the_ratio() {
