--- a/crates/dispatch/tests/testsuite/locality.rs
+++ b/crates/dispatch/tests/testsuite/locality.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use cowslipwing_dispatch::{
-    Action, Answer, Decision, EndpointStatus, FreeResources, JobSpec, PlacementRequest, RackChoice,
-    RackSurvey, RunStatus, Scheduler, TaskEvent, WorkEstimate,
+    Action, Answer, CrashRole, Decision, EndpointStatus, FreeResources, JobSpec, PlacementRequest,
+    RackChoice, RackSurvey, RunStatus, Scheduler, TaskEvent, WorkEstimate,
 };
 
 use crate::support::{
@@ -116,6 +116,29 @@
     }
 }
 
+/// Containment closes the near rack to a queue while its endpoints stay usable for others.
+#[test]
+fn a_wait_ends_when_the_queue_is_contained_elsewhere() {
+    let far: Vec<EndpointStatus> = (0..7).map(|_| endpoint("far", 16)).collect();
+    let mut scheduler = scheduler(2.0, &[vec![endpoint("near", 0)], far].concat());
+    scheduler.submit(START, near_job());
+    scheduler.submit(START, job("a2", 1, 1000, ms(300)));
+    let mut actions = scheduler.take_actions();
+    for _ in 0..2 {
+        let (to, order) = orders(&actions).remove(0);
+        let status = EndpointStatus { usable: false, ..endpoint("far", 16) };
+        scheduler.on_status(START + ms(5), &to, status);
+        let event = TaskEvent { run: order.run, status: RunStatus::Crashed(CrashRole::Suspect) };
+        scheduler.on_task_event(START + ms(5), &to, &event);
+        actions = scheduler.take_actions();
+    }
+    assert!(has_decision(&actions, |decision| matches!(decision, Decision::QueueContained { .. })));
+    scheduler.on_tick(START + ms(10));
+    let actions = scheduler.take_actions();
+    assert_ne!(orders(&actions)[0].0, agent(0));
+    assert!(has_decision(&actions, is_lost));
+}
+
 /// A wait that outlasts the latest start far away would lose an objective that no wait keeps.
 #[test]
 fn a_wait_leaves_time_for_a_run_far_away() {
