--- a/crates/dispatch/src/scheduler/selection.rs
+++ b/crates/dispatch/src/scheduler/selection.rs
@@ -83,8 +83,15 @@
     ) -> Option<SelectedEndpoint> {
         let EndpointQuery { step, rotation, observed_work, avoid, excluded_vms, .. } = query;
         let suspect_after = self.settings.suspect_after;
+<<<<<<< HEAD
         let count = self.endpoints.values().filter(|endpoint| !endpoint.evacuated).count();
         let stride = count.div_ceil(MAX_CANDIDATES).max(1);
+=======
+        let count = self.endpoints.len();
+        // A rack has few endpoints, and a subset of all endpoints may contain none of them.
+        let is_near_only = query.rack_choice == RackChoice::Near;
+        let stride = if is_near_only { 1 } else { count.div_ceil(MAX_CANDIDATES).max(1) };
+>>>>>>> local
         let max_failure_rate = self.max_failure_rate(now);
         let spec = &job.spec;
         let predicted = self.predictor.predict_work(&spec.queue, step.declared_run_time);
