--- a/crates/cli/src/cmd.rs
+++ b/crates/cli/src/cmd.rs
@@ -1,6 +1,7 @@
 //! The subcommands, one per module.
 
 pub(crate) mod batch;
+pub(crate) mod config;
 pub(crate) mod contract;
 pub(crate) mod demo;
 pub(crate) mod endpoint;
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use cowslipwing_platform::StoreError;
 use cowslipwing_proto::Problem;
 use cowslipwing_settings::SettingsError;
 use snafu::Snafu;
@@ -36,6 +37,18 @@
     /// The settings could not be read or are invalid.
     #[snafu(display("{source}"), context(false))]
     BadSettings { source: SettingsError },
+    /// The configuration has findings.
+    #[snafu(display("{count} findings; correct the configuration before sending it"))]
+    Findings { count: usize },
+    /// The configuration could not be checked.
+    #[snafu(display("could not check: {detail}"))]
+    NotChecked { detail: String },
+    /// The store did not return the configuration in force.
+    #[snafu(display("could not check: the store {address}: {source}; check --store"))]
+    Store { address: SocketAddr, source: StoreError },
+    /// The store has no configuration.
+    #[snafu(display("could not check: the store {address} has no configuration; omit --in-force"))]
+    NoConfiguration { address: SocketAddr },
     /// The demo could not be started.
     #[snafu(display(
         "the demo could not be started: {detail}; check that loopback ports are free and try again"
@@ -47,9 +60,13 @@
     /// Returns the process's exit code.
     pub(crate) fn exit_code(&self) -> u8 {
         const FAILURE: u8 = 1;
+        const NOT_CHECKED: u8 = 2;
         const UNREACHABLE: u8 = 3;
         match self {
             Self::Unreachable { .. } => UNREACHABLE,
+            Self::NotChecked { .. } | Self::Store { .. } | Self::NoConfiguration { .. } => {
+                NOT_CHECKED
+            }
             _ => FAILURE,
         }
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The command-line tool of cowslipwing for operators and callers.
 //!
-//! Exit codes: 0 success, 1 refused or failed, 2 wrong usage, 3 no entry could be reached.
+//! Exit codes: 0 success, 1 refused or failed, 2 wrong usage or not checked, 3 no entry could be
+//! reached.
 
 mod client;
 mod cmd;
@@ -19,6 +20,7 @@
     Job(cmd::job::Args),
     Batch(cmd::batch::Args),
     Endpoint(cmd::endpoint::Args),
+    Config(cmd::config::Args),
     Settings(cmd::settings::Args),
     Status(cmd::status::Args),
     Demo(cmd::demo::Args),
@@ -29,10 +31,11 @@
     let job = cmd::job::subcommand().map(Command::Job);
     let batch = cmd::batch::subcommand().map(Command::Batch);
     let endpoint = cmd::endpoint::subcommand().map(Command::Endpoint);
+    let config = cmd::config::subcommand().map(Command::Config);
     let settings = cmd::settings::subcommand().map(Command::Settings);
     let status = cmd::status::subcommand().map(Command::Status);
     let demo = cmd::demo::subcommand().map(Command::Demo);
-    construct!([contract, job, batch, endpoint, settings, status, demo])
+    construct!([contract, job, batch, endpoint, config, settings, status, demo])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr(
@@ -71,6 +74,7 @@
         Command::Job(args) => cmd::job::execute(args).await,
         Command::Batch(args) => cmd::batch::execute(args).await,
         Command::Endpoint(args) => cmd::endpoint::execute(args).await,
+        Command::Config(args) => cmd::config::execute(args).await,
         Command::Settings(args) => cmd::settings::execute(args),
         Command::Status(args) => cmd::status::execute(args).await,
         Command::Demo(args) => cmd::demo::execute(args).await,
