Share crash records between agents and entries

A task that its caller submits again, at another entry or after restarts of agents, was counted from zero. Agents now create a record for each run lost in a crash and send it to all their entries; entries pass new records on to three agents, and both sides exchange what they remember when a stream opens. A job whose count has reached the limit is answered at its submission.

Runs that the next incarnation of an endpoint lists no longer hide the suspect that was started before them, and agents take the latest endpoint report that an entry remembers, so that a capacity that shrank while the store was down survives a restart.

--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -13,17 +13,17 @@
 mod status;
 mod stop;
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use cowslipwing_types::SortedMap;
 
+use crate::crash_log::{CrashLog, CrashRecord};
 use crate::id::{EntryId, TaskName, TaskRun};
 use crate::reply_tracker::EndpointActivity;
 use crate::samples::{Samples, SlownessEstimator};
-use crate::scheduler::{CrashRole, RunStatus, TaskEvent};
+use crate::scheduler::{RunStatus, TaskEvent};
 
 use held_task::{HeldTask, Phase};
 
@@ -44,6 +44,8 @@
     pub endpoint_lease: Duration,
     /// Longest lease that the endpoint grants.
     pub longest_lease: Duration,
+    /// Name of the VM of the agent and its endpoint.
+    pub vm: CompactString,
     /// Data centre of the agent and its endpoint.
     pub site: CompactString,
 }
@@ -66,6 +68,9 @@
     Stop(TaskRun),
     /// Sends a task event to an entry.
     NotifyEntry(EntryId, TaskEvent),
+    /// Sends a crash record and the time since the crash to all entries. It precedes the event of
+    /// the lost run.
+    ShareCrash(CrashRecord, Duration),
 }
 
 /// The state that an agent keeps of its endpoint and of the tasks that it holds.
@@ -92,8 +97,8 @@
     /// Outcomes of recent runs: 0 if the task completed, 1 if it failed or if its start was refused
     /// as [`StartRefusal::Unhealthy`].
     failures: Samples,
-    /// Tasks that are suspected of a crash of the endpoint, oldest first.
-    crash_suspects: VecDeque<TaskName>,
+    /// Crashes of this endpoint and of others.
+    crash_log: CrashLog,
     /// Whether a process listens at the endpoint's address, as far as is known.
     is_listening: bool,
     /// Whether the agent is stopping and accepts no tasks.
@@ -117,7 +122,7 @@
             entry_leases: SortedMap::new(),
             slowness_estimator: SlownessEstimator::default(),
             failures: Samples::default(),
-            crash_suspects: VecDeque::new(),
+            crash_log: CrashLog::default(),
             is_listening: true,
             is_draining: false,
             actions: Vec::new(),
@@ -201,13 +206,39 @@
         *lease = expires_at.max(*lease);
     }
 
+    /// Returns the crash records that the agent remembers.
+    pub fn crash_log(&self) -> &CrashLog {
+        &self.crash_log
+    }
+
+    /// Adds crash records that an entry has sent, each with the time since the crash. New ones are
+    /// shared with all entries.
+    pub fn on_crash_records<I>(&mut self, now: Duration, records: I)
+    where
+        I: IntoIterator<Item = (CrashRecord, Duration)>,
+    {
+        for (record, age) in records {
+            if self.crash_log.insert(now, record.clone(), age) {
+                self.actions.push(ExecutorAction::ShareCrash(record, age));
+            }
+        }
+    }
+
+    /// Returns the status with which an order is returned because of earlier crashes, if any.
+    fn crash_refusal(&self, now: Duration, task: &TaskName) -> Option<RunStatus> {
+        if self.crash_log.is_suspect_at(now, task, &self.settings.vm) {
+            return Some(RunStatus::KnownSuspect);
+        }
+        // The entry has not learned of the limit yet; it receives the records before this status.
+        self.crash_log.count(now, task).is_at_limit().then_some(RunStatus::NotStarted)
+    }
+
     /// Accepts an order, or returns it at once as not started. A task that is suspected of a crash of
     /// this endpoint is returned as such, also to an entry that did not order it before.
     pub fn on_order(&mut self, now: Duration, received: ReceivedOrder) {
         let ReceivedOrder { entry, order } = received;
         let name = order.run.task.clone();
-        if self.crash_suspects.contains(&name) {
-            let status = RunStatus::Crashed(CrashRole::Suspect);
+        if let Some(status) = self.crash_refusal(now, &name) {
             let event = TaskEvent { run: order.run, status };
             self.actions.push(ExecutorAction::NotifyEntry(entry, event));
             return;
--- a/crates/dispatch/src/executor/incarnation.rs
+++ b/crates/dispatch/src/executor/incarnation.rs
@@ -4,21 +4,18 @@
 
 use cowslipwing_types::SortedMap;
 
+use crate::crash_log::CrashRecord;
 use crate::id::TaskName;
 use crate::samples::{Samples, SlownessEstimator};
 use crate::scheduler::{CrashRole, RunStatus};
 
 use super::held_task::{HeldTask, IncarnationEnd, Phase};
-use super::{EndpointReport, Executor};
+use super::{EndpointReport, Executor, Listing};
 
 /// Time before the last start at a crashed endpoint within which other starts are suspected as well.
 /// A crash is noticed some milliseconds late, and other tasks may have started in between.
 const SUSPECT_PERIOD: Duration = Duration::from_millis(10);
 
-/// Maximum number of suspects of crashes that an agent remembers. Callers hand a job in again within
-/// seconds, in which an endpoint crashes a few times.
-const MAX_CRASH_SUSPECTS: usize = 256;
-
 impl Executor {
     /// Records a report of the endpoint; returns whether the incarnation, its draining state or its
     /// capacity changed.
@@ -91,17 +88,50 @@
         let has_crashed = self.endpoint.as_ref().is_some_and(|endpoint| !endpoint.draining);
         let is_affected =
             |held: &HeldTask| held.phase != Phase::Queued && held.incarnation_end.is_none();
-        let is_confirmed = |held: &&HeldTask| is_affected(held) && held.confirmed_at.is_some();
-        let confirmed = self.held.values().filter(is_confirmed);
-        let last_start = confirmed.map(|held| held.started_at).max().unwrap_or_default();
         for (_, held) in self.held.iter_mut().filter(|(_, held)| is_affected(held)) {
-            let is_suspect = held.started_at + SUSPECT_PERIOD >= last_start;
             held.incarnation_end = Some(if has_crashed {
-                IncarnationEnd::Crashed { is_suspect }
+                IncarnationEnd::Crashed { is_suspect: true }
             } else {
                 IncarnationEnd::Left
             });
         }
+        self.judge_suspects(|held| held.confirmed_at.is_some());
+    }
+
+    /// Finds the suspects of a crash among the tasks for which `is_lost` holds: those that were
+    /// started last.
+    fn judge_suspects<F>(&mut self, is_lost: F)
+    where
+        F: Fn(&HeldTask) -> bool,
+    {
+        let has_crashed =
+            |held: &HeldTask| matches!(held.incarnation_end, Some(IncarnationEnd::Crashed { .. }));
+        let is_affected = |held: &HeldTask| has_crashed(held) && is_lost(held);
+        let affected = self.held.values().filter(|held| is_affected(held));
+        let last_start = affected.map(|held| held.started_at).max().unwrap_or_default();
+        for (_, held) in self.held.iter_mut().filter(|(_, held)| is_affected(held)) {
+            let is_suspect = held.started_at + SUSPECT_PERIOD >= last_start;
+            held.incarnation_end = Some(IncarnationEnd::Crashed { is_suspect });
+        }
+    }
+
+    /// Judges a crash again with the first listings of the new incarnation.
+    ///
+    /// An endpoint that restarts without downtime may start runs before its agent notices. Those that
+    /// it lists were started after the crash, so that they are neither lost with it nor later starts
+    /// that clear an earlier one. Runs that were confirmed since the listing was requested are
+    /// judged with the next one.
+    pub(super) fn judge_by_listing(&mut self, listing: &Listing) {
+        let progress = listing.running.iter().map(|progress| &progress.run);
+        for run in progress.chain(listing.ended.iter().map(|end| &end.run)) {
+            let held = self.held.get_mut(&run.task).filter(|held| held.run_number == run.number);
+            if let Some(held) = held {
+                held.incarnation_end = None;
+            }
+        }
+        self.judge_suspects(|held| {
+            held.confirmed_at.is_some_and(|confirmed_at| confirmed_at < listing.requested_at)
+        });
     }
 
     /// Handles a call that was addressed to the incarnation `expected_id` and answered by another.
@@ -109,13 +139,13 @@
     /// The addressed incarnation is gone, so its runs are lost. They are given up, the queued tasks
     /// are returned to their entries, and the result is `true`. If the known endpoint already has
     /// another id, nothing changes and the result is `false`.
-    pub fn on_incarnation_mismatch(&mut self, expected_id: &str) -> bool {
+    pub fn on_incarnation_mismatch(&mut self, now: Duration, expected_id: &str) -> bool {
         if self.endpoint.as_ref().is_some_and(|endpoint| endpoint.id != expected_id) {
             return false;
         }
         self.on_new_incarnation();
         self.endpoint = None;
-        self.give_up_started();
+        self.give_up_started(now);
         self.return_queued();
         true
     }
@@ -126,34 +156,39 @@
     /// Confirmed runs are reported as lost and queued tasks are returned, so that they run elsewhere
     /// in time. A start without an answer may still reach the next incarnation, so it is cancelled
     /// there first. No task starts until the endpoint answers a listing again.
-    pub fn on_not_listening(&mut self) {
+    pub fn on_not_listening(&mut self, now: Duration) {
         self.is_listening = false;
         self.record_incarnation_end();
         for name in self.tasks_where(|held| held.phase == Phase::Running) {
-            self.remove_lost(&name);
+            self.remove_lost(now, &name);
         }
         self.return_queued();
     }
 
     /// Removes all started tasks and reports them to their entries as lost.
-    pub(super) fn give_up_started(&mut self) {
+    pub(super) fn give_up_started(&mut self, now: Duration) {
         let is_started = |held: &HeldTask| held.phase != Phase::Queued;
         for name in self.tasks_where(is_started) {
-            self.remove_lost(&name);
+            self.remove_lost(now, &name);
         }
     }
 
     /// Removes a task whose run was lost with the endpoint or its lease, and reports it.
-    pub(super) fn remove_lost(&mut self, name: &TaskName) {
+    pub(super) fn remove_lost(&mut self, now: Duration, name: &TaskName) {
         let Some(status) = self.held.get(name).map(HeldTask::lost_status) else {
             return;
         };
-        if status == RunStatus::Crashed(CrashRole::Suspect) {
-            self.crash_suspects.push_back(name.clone());
-            if self.crash_suspects.len() > MAX_CRASH_SUSPECTS {
-                self.crash_suspects.pop_front();
-            }
+        if let RunStatus::Crashed(role) = status {
+            self.record_crash(now, name, role);
         }
         self.remove_and_report(name, status);
     }
+
+    fn record_crash(&mut self, now: Duration, name: &TaskName, role: CrashRole) {
+        let Some(held) = self.held.get(name) else {
+            return;
+        };
+        let record = CrashRecord { run: held.run_of(name), vm: self.settings.vm.clone(), role };
+        self.on_crash_records(now, [(record, Duration::ZERO)]);
+    }
 }
--- a/crates/dispatch/src/executor/listing.rs
+++ b/crates/dispatch/src/executor/listing.rs
@@ -32,6 +32,7 @@
         self.last_listing_at = Some(now);
         self.clock = Some((now, listing.clock_ms));
         self.lease_deadline_ms = self.lease_deadline_ms.max(listing.clock_ms);
+        self.judge_by_listing(listing);
         for end in &listing.ended {
             self.on_end(now, end);
         }
@@ -87,7 +88,6 @@
         if held.phase == Phase::Starting {
             held.phase = Phase::Running;
             held.confirmed_at = Some(now);
-            held.incarnation_end = None;
         }
         held.on_progress(now, progress.percent);
         let baseline = self.slowness_estimator.baseline();
@@ -126,7 +126,7 @@
         // An incarnation that has ended may have carried out the start, whatever the present one
         // lists.
         if is_missing || (is_settled && held.incarnation_end.is_some()) {
-            self.remove_lost(name);
+            self.remove_lost(now, name);
         } else if is_settled {
             self.remove_and_report(name, RunStatus::NotStarted);
         }
--- a/crates/dispatch/src/executor/start.rs
+++ b/crates/dispatch/src/executor/start.rs
@@ -133,7 +133,7 @@
             // The addressed incarnation is gone, and may have carried out another copy.
             StartOutcome::Refused(StartRefusal::OtherIncarnation) if held.sends > 1 => {
                 held.incarnation_end.get_or_insert(IncarnationEnd::Crashed { is_suspect: true });
-                self.remove_lost(&run.task);
+                self.remove_lost(now, &run.task);
                 self.last_listing_at = None;
             }
             // Another copy may still be carried out.
--- a/crates/dispatch/src/executor/stop.rs
+++ b/crates/dispatch/src/executor/stop.rs
@@ -68,7 +68,7 @@
     /// longer runs them.
     pub(super) fn give_up_expired(&mut self, now: Duration) {
         if self.endpoint_clock_ms(now).is_some_and(|clock_ms| clock_ms > self.lease_deadline_ms) {
-            self.give_up_started();
+            self.give_up_started(now);
         }
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,18 +18,21 @@
 //!   next.
 
 mod attachment;
+mod crash_log;
 mod executor;
 mod id;
 mod job;
 mod placement;
 mod predictor;
 mod reply_tracker;
+mod report_memory;
 mod resources;
 mod route;
 mod samples;
 mod scheduler;
 
 pub use attachment::{KnownEntry, MAX_ENTRIES_PER_AGENT, select_entries};
+pub use crash_log::{CrashCount, CrashLog, CrashRecord};
 pub use executor::{
     EndpointReport, Executor, ExecutorAction, ExecutorSettings, Listing, ReceivedOrder, RunOutcome,
     StartOutcome, StartRefusal, TaskEnd, TaskProgress,
@@ -42,6 +45,7 @@
 };
 pub use predictor::{Predictor, WorkEstimate};
 pub use reply_tracker::{EndpointActivity, ReplyTracker};
+pub use report_memory::ReportMemory;
 pub use resources::{FreeResources, Resources};
 pub use route::{Route, RouteTable};
 pub use samples::{Samples, SlownessEstimator};
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -16,6 +16,7 @@
 
 use cowslipwing_types::SortedMap;
 
+use crate::crash_log::CrashLog;
 use crate::id::{AgentId, RequestId, TaskName, TaskRun};
 use crate::job::{Answer, GiveUpReason, JobSpec, RefusalReason};
 use crate::predictor::Predictor;
@@ -72,6 +73,8 @@
     warm_up: WarmUp,
     predictor: Predictor,
     containment: Containment,
+    /// Crashes under tasks of this and other entries.
+    crash_log: CrashLog,
     actions: Vec<Action>,
 }
 
@@ -86,6 +89,7 @@
             warm_up: WarmUp::default(),
             predictor: Predictor::default(),
             containment: Containment::default(),
+            crash_log: CrashLog::default(),
             actions: Vec::new(),
         }
     }
@@ -131,7 +135,11 @@
             self.actions.push(Action::Answer(id, Answer::GaveUp { reason, retry_after }));
             return;
         }
-        let job = Job::new(now, spec, CALLER_NETWORK_DELAY);
+        let mut job = Job::new(now, spec, CALLER_NETWORK_DELAY);
+        self.count_earlier_crashes(now, &mut job);
+        if self.answer_at_crash_limit(&job) {
+            return;
+        }
         match self.admit(now, &job) {
             Ok(()) => self.start(now, job),
             Err(refusal) => {
@@ -175,7 +183,13 @@
             objective: job.objective.saturating_sub(now),
         };
         self.actions.push(Action::Record(decision));
-        self.actions.push(Action::Answer(id, Answer::Refused { reason, retry_after }));
+        let answer = if job.may_have_started() {
+            // An endpoint crashed under a run of an earlier attempt, so a refusal would be untrue.
+            Answer::GaveUp { reason: GiveUpReason::Crashes, retry_after }
+        } else {
+            Answer::Refused { reason, retry_after }
+        };
+        self.actions.push(Action::Answer(id, answer));
     }
 
     /// Returns the share of a service's processors that is in use or requested by queued tasks.
@@ -361,6 +375,7 @@
             RunStatus::Done(run_time) => self.on_done(now, name, index, run_time),
             RunStatus::Failed => self.on_failed(now, name, index, agent),
             RunStatus::Crashed(role) => self.on_crashed(now, index, agent, event, role),
+            RunStatus::KnownSuspect => self.on_known_suspect(now, index, agent, name),
             RunStatus::NotStarted | RunStatus::StaleRun | RunStatus::Stopped => {
                 if let Some(job) = self.jobs.get_mut(&name.request) {
                     job.tasks[index].on_returned(event.status, agent, STALE_RUN_INCREMENT);
--- a/crates/dispatch/src/scheduler/decision.rs
+++ b/crates/dispatch/src/scheduler/decision.rs
@@ -5,7 +5,8 @@
 
 use compact_str::CompactString;
 
-use crate::id::{AgentId, RequestId, TaskRun};
+use crate::crash_log::CrashRecord;
+use crate::id::{AgentId, RequestId, TaskName, TaskRun};
 use crate::job::RefusalReason;
 
 use super::RunStatus;
@@ -83,15 +84,30 @@
     },
     /// The job of a task is given up, because endpoints crashed under the task.
     CrashLimitReached {
-        /// The run that was lost last.
-        run: TaskRun,
-        /// Agent whose endpoint crashed last.
-        agent: AgentId,
+        /// The task.
+        task: TaskName,
+        /// Number of endpoints that crashed after they had confirmed a start of the task.
+        confirmed: u32,
+        /// Number of endpoints that crashed after a start of the task was sent.
+        possible: u32,
+    },
+    /// A submitted job is answered at once, because endpoints crashed under one of its tasks in
+    /// earlier attempts of its caller.
+    CrashLimitKnown {
+        /// The task.
+        task: TaskName,
         /// Number of endpoints that crashed after they had confirmed a start of the task.
         confirmed: u32,
         /// Number of endpoints that crashed after a start of the task was sent.
         possible: u32,
     },
+    /// A crash record that was not known has arrived.
+    CrashLearned {
+        /// The record.
+        record: CrashRecord,
+        /// Agent that sent it.
+        source: AgentId,
+    },
     /// A queue whose tasks crash endpoints is confined to some of the endpoints.
     QueueContained {
         /// Name of the queue.
@@ -144,10 +160,16 @@
                 remaining_here.as_millis(),
                 time_elsewhere.as_millis()
             ),
-            Self::CrashLimitReached { run, agent, confirmed, possible } => write!(
+            Self::CrashLimitReached { task, confirmed, possible } => {
+                write!(f, "event=crash-limit task={task} crashes={confirmed} possible={possible}")
+            }
+            Self::CrashLimitKnown { task, confirmed, possible } => write!(
                 f,
-                "event=crash-limit task={run} agent={agent} crashes={confirmed} possible={possible}"
+                "event=crash-limit-known task={task} crashes={confirmed} possible={possible}"
             ),
+            Self::CrashLearned { record: CrashRecord { run, vm, role }, source } => {
+                write!(f, "event=crash-record task={run} vm={vm} role={role:?} source={source}")
+            }
             Self::QueueContained { queue, endpoints } => {
                 write!(f, "event=contained queue={queue} endpoints={endpoints}")
             }
--- a/crates/dispatch/src/scheduler/deferral.rs
+++ b/crates/dispatch/src/scheduler/deferral.rs
@@ -86,6 +86,9 @@
         }
         let is_warming_up = self.warm_up.is_active(now);
         for DeferredJob { job, until } in std::mem::take(&mut self.deferred) {
+            if self.answer_at_crash_limit(&job) {
+                continue;
+            }
             match self.admit(now, &job) {
                 Ok(()) => self.start(now, job),
                 Err(_) if is_warming_up && now < until => {
--- a/crates/dispatch/src/scheduler/endpoint.rs
+++ b/crates/dispatch/src/scheduler/endpoint.rs
@@ -76,7 +76,12 @@
     }
 
     pub(super) fn is_usable(&self, now: Duration, suspect_after: Duration) -> bool {
-        self.attached && self.status.usable && now < self.heard_at + suspect_after
+        self.status.usable && self.is_connected(now, suspect_after)
+    }
+
+    /// Returns whether the agent was heard of recently on an open stream.
+    pub(super) fn is_connected(&self, now: Duration, suspect_after: Duration) -> bool {
+        self.attached && now < self.heard_at + suspect_after
     }
 
     /// Returns whether all leases have expired, so that no run sent to the agent can continue.
--- a/crates/dispatch/src/scheduler/message.rs
+++ b/crates/dispatch/src/scheduler/message.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::crash_log::CrashRecord;
 use crate::id::{AgentId, RequestId, TaskRun};
 use crate::job::Answer;
 use crate::resources::Resources;
@@ -38,6 +39,8 @@
     Stopped,
     /// The run was lost because its endpoint crashed.
     Crashed(CrashRole),
+    /// The run did not start, because the task is suspected of an earlier crash of the endpoint.
+    KnownSuspect,
     /// The run is far slower than is usual at its endpoint, and needs about this much more time.
     Slow(Duration),
     /// The task is more work than expected and cannot end in time, since it needs about this much
@@ -85,6 +88,8 @@
     Order(AgentId, TaskOrder),
     /// Cancels a run at an agent.
     Cancel(AgentId, TaskRun),
+    /// Sends a crash record and the time since the crash to an agent.
+    ShareCrash(AgentId, CrashRecord, Duration),
     /// Sends the final answer to the caller.
     Answer(RequestId, Answer),
     /// Writes a decision to the log.
--- a/crates/dispatch/src/scheduler/task.rs
+++ b/crates/dispatch/src/scheduler/task.rs
@@ -4,10 +4,10 @@
 
 use compact_str::CompactString;
 
+use crate::crash_log::{CrashCount, CrashRecord};
 use crate::id::{AgentId, TaskName, TaskRun};
 use crate::job::JobSpec;
 
-use super::crashes::CrashCount;
 use super::{CrashRole, RunStatus};
 
 /// The location of a task.
@@ -117,16 +117,36 @@
         self.on_lost(agent);
     }
 
-    pub(super) fn on_crashed(&mut self, agent: &AgentId, role: CrashRole) {
-        self.crashes.add(role);
-        if role == CrashRole::Suspect {
-            self.excluded_vms.push(agent.vm_name().into());
+    /// Counts a crash under the task, in this attempt of the caller or in an earlier one.
+    pub(super) fn add_crash(&mut self, record: &CrashRecord) {
+        self.crashes.add(record.role);
+        self.may_have_started = true;
+        if record.role == CrashRole::Suspect {
+            self.exclude_vm(&record.vm);
         }
+    }
+
+    /// Counts a crash under the task in an earlier attempt of the caller. Runs are numbered from
+    /// there on, since endpoints refuse run numbers that they have seen.
+    pub(super) fn add_earlier_crash(&mut self, record: &CrashRecord) {
+        self.add_crash(record);
+        self.last_run = self.last_run.max(record.run.number);
+    }
+
+    /// Handles the return of the task by an agent whose endpoint it may have crashed before.
+    pub(super) fn on_known_suspect(&mut self, agent: &AgentId) {
+        self.exclude_vm(agent.vm_name());
         self.on_lost(agent);
     }
 
+    fn exclude_vm(&mut self, vm: &str) {
+        if !self.excluded_vms.iter().any(|excluded| excluded == vm) {
+            self.excluded_vms.push(vm.into());
+        }
+    }
+
     /// Returns the task to the entry after a run that may have had effects.
-    fn on_lost(&mut self, agent: &AgentId) {
+    pub(super) fn on_lost(&mut self, agent: &AgentId) {
         self.state = TaskState::Waiting;
         self.may_have_started = true;
         self.avoid = Some(agent.clone());
--- a/crates/dispatch/tests/testsuite/executor.rs
+++ b/crates/dispatch/tests/testsuite/executor.rs
@@ -22,6 +22,7 @@
     entry_lease: Duration::from_millis(600),
     endpoint_lease: Duration::from_millis(500),
     longest_lease: Duration::from_millis(1000),
+    vm: CompactString::const_new("side-1"),
     site: CompactString::const_new("here"),
 };
 
--- a/crates/dispatch/tests/testsuite/main.rs
+++ b/crates/dispatch/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of scheduling decisions under the loads and faults that they are designed for.
 
 mod attachment;
+mod crash_records;
 mod crashes;
 mod deferral;
 mod executor;
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -8,8 +8,8 @@
 
 use compact_str::CompactString;
 use cowslipwing_dispatch::{
-    AgentId, EndpointActivity, EndpointReport, EntryId, Executor, ExecutorAction, ExecutorSettings,
-    Listing, ReceivedOrder, RunStatus, StartOutcome, TaskEvent, TaskRun,
+    AgentId, CrashRecord, EndpointActivity, EndpointReport, EntryId, Executor, ExecutorAction,
+    ExecutorSettings, Listing, ReceivedOrder, RunStatus, StartOutcome, TaskEvent, TaskRun,
 };
 use cowslipwing_platform::EndpointError;
 use cowslipwing_proto::{self as proto, AgentFrame, AgentHello, EntryFrame};
@@ -19,7 +19,10 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::endpoint_calls::EndpointCalls;
-use crate::convert::{event_to_proto, millis, order_from_proto, status_to_proto};
+use crate::convert::{
+    crash_from_proto, crash_to_proto, crashes_to_proto, event_to_proto, millis, order_from_proto,
+    report_from_proto, report_to_proto, status_to_proto,
+};
 use crate::members::{Members, parse_addresses};
 use crate::metrics::Metrics;
 use crate::wire_ids::{run_from_proto, run_to_proto};
@@ -97,6 +100,10 @@
     orders_seen: u64,
     /// Task events that have not been sent yet.
     events: Vec<proto::TaskEvent>,
+    /// Crash records that have not been sent yet.
+    crashes: Vec<proto::CrashRecord>,
+    /// Report of the endpoint, if it has changed since it was last sent.
+    report: Option<proto::EndpointReport>,
     /// Time at which the last frame was sent.
     sent_at: Duration,
     /// Whether the status has changed since it was last sent.
@@ -149,6 +156,7 @@
             entry_lease: ENTRY_LEASE,
             endpoint_lease: ENDPOINT_LEASE.min(config.longest_lease),
             longest_lease: config.longest_lease,
+            vm: config.node.as_str().into(),
             site: config.site.as_str().into(),
         };
         Self {
@@ -204,7 +212,7 @@
     fn on_event(&mut self, event: Event) {
         let now = self.clock.since_boot();
         match event {
-            Event::EndpointAnnounced(report) => self.on_announced(now, report),
+            Event::EndpointAnnounced(report) => self.on_announced(now, report, "announcement"),
             Event::EndpointLeft(id) => {
                 log::info!("agent: event=endpoint-left endpoint={id}");
                 self.executor.on_endpoint_left(&id);
@@ -248,9 +256,10 @@
         }
     }
 
-    fn on_announced(&mut self, now: Duration, report: EndpointReport) {
+    /// Handles a report of the endpoint that has arrived from `source`: an announcement or an entry.
+    fn on_announced(&mut self, now: Duration, report: EndpointReport, source: &str) {
         let line = format!(
-            "endpoint={} born={} draining={} kind={} rack={} cpu={}",
+            "endpoint={} born={} draining={} kind={} rack={} cpu={} source={source}",
             report.id,
             report.incarnation,
             report.draining,
@@ -259,6 +268,9 @@
             report.capacity.cpu_millis
         );
         if self.executor.on_report(now, report.clone()) {
+            for (_, stream) in self.streams.iter_mut() {
+                stream.report = Some(report_to_proto(&report));
+            }
             self.reports.send_replace(Some(report));
             log::info!("agent: event=announced {line}");
             self.mark_status_changed();
@@ -286,10 +298,10 @@
                 }
                 self.is_reachable = false;
                 if error.is_not_listening() {
-                    self.executor.on_not_listening();
+                    self.executor.on_not_listening(now);
                 }
                 if matches!(error, EndpointError::OtherIncarnation) {
-                    let forgotten = self.executor.on_incarnation_mismatch(endpoint_id);
+                    let forgotten = self.executor.on_incarnation_mismatch(now, endpoint_id);
                     log::info!(
                         "agent: event=other-incarnation asked={endpoint_id} forgotten={forgotten}"
                     );
@@ -311,6 +323,8 @@
         log::info!("agent: event=attached entry={entry} address={address}");
         self.remove_previous_incarnations(now, &entry, address);
         self.members.add(parse_addresses(&first.entries));
+        let crashes = first.crashes.iter().filter_map(crash_from_proto);
+        self.executor.on_crash_records(now, crashes);
         // The entry sends orders on this stream only after it has received this hello.
         let hello = AgentHello {
             agent: self.id.to_string(),
@@ -321,6 +335,8 @@
             clock_ms: millis(now),
             status: Some(status_to_proto(&self.executor.status(now))),
             events: self.unsent_events.remove(&entry).unwrap_or_default(),
+            crashes: crashes_to_proto(now, self.executor.crash_log()),
+            report: self.executor.endpoint().map(report_to_proto),
         };
         // If the stream has already ended, a `StreamClosed` event follows.
         let _ = tx.send(frame);
@@ -329,6 +345,8 @@
             tx,
             orders_seen: 0,
             events: Vec::new(),
+            crashes: Vec::new(),
+            report: None,
             sent_at: now,
             status_changed: false,
             retiring_since: None,
@@ -379,6 +397,11 @@
         if !frame.entries.is_empty() {
             self.members.add(parse_addresses(&frame.entries));
         }
+        let crashes = frame.crashes.iter().filter_map(crash_from_proto);
+        self.executor.on_crash_records(now, crashes);
+        if let Some(report) = &frame.report {
+            self.on_announced(now, report_from_proto(report), entry.as_str());
+        }
         if let Some(stream) = self.streams.get_mut(entry) {
             stream.orders_seen += frame.orders.len() as u64;
         }
@@ -434,10 +457,23 @@
                     self.calls.stop(endpoint_id.clone(), run);
                 }
                 ExecutorAction::NotifyEntry(entry, event) => self.notify_entry(&entry, &event),
+                ExecutorAction::ShareCrash(record, age) => self.share_crash(&record, age),
             }
         }
     }
 
+    /// Sends a crash record to all entries with the next frames. An entry whose stream is closed gets
+    /// it in the first frame of the next one.
+    fn share_crash(&mut self, record: &CrashRecord, age: Duration) {
+        self.metrics.count("crash_record_shared");
+        let CrashRecord { run, vm, role } = record;
+        log::info!("agent: event=crash-record task={run} vm={vm} role={role:?}");
+        for (_, stream) in self.streams.iter_mut().filter(|(_, stream)| !stream.tx.is_closed()) {
+            stream.crashes.push(crash_to_proto(record, age));
+            stream.status_changed = true;
+        }
+    }
+
     fn notify_entry(&mut self, entry: &EntryId, event: &TaskEvent) {
         match event.status {
             RunStatus::Done(run_time) => {
--- a/crates/node/src/agent/actor/frames.rs
+++ b/crates/node/src/agent/actor/frames.rs
@@ -48,6 +48,8 @@
                     ..status.clone()
                 }),
                 events: std::mem::take(&mut stream.events),
+                crashes: std::mem::take(&mut stream.crashes),
+                report: std::mem::take(&mut stream.report),
             };
             // If the stream has already ended, a `StreamClosed` event follows.
             let _ = stream.tx.send(frame);
--- a/crates/node/src/convert.rs
+++ b/crates/node/src/convert.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use cowslipwing_dispatch::{
-    CrashRole, EndpointStatus, FreeResources, QueuedCpu, Resources, RunStatus, TaskEvent, TaskOrder,
+    CrashLog, CrashRecord, CrashRole, EndpointReport, EndpointStatus, FreeResources, QueuedCpu,
+    Resources, RunStatus, TaskEvent, TaskOrder,
 };
 use cowslipwing_proto as proto;
 
@@ -67,7 +68,9 @@
         RunStatus::StaleRun => (proto::TaskFate::StaleRun, Duration::ZERO),
         RunStatus::Done(run_time) => (proto::TaskFate::Done, run_time),
         RunStatus::Failed => (proto::TaskFate::Failed, Duration::ZERO),
-        RunStatus::Stopped | RunStatus::Crashed(_) => (proto::TaskFate::Stopped, Duration::ZERO),
+        RunStatus::Stopped | RunStatus::Crashed(_) | RunStatus::KnownSuspect => {
+            (proto::TaskFate::Stopped, Duration::ZERO)
+        }
         RunStatus::Slow(remaining) => (proto::TaskFate::Slow, remaining),
         RunStatus::Overrun(remaining) => (proto::TaskFate::Overrun, remaining),
     };
@@ -75,9 +78,14 @@
         run: Some(run_to_proto(&event.run)),
         fate: fate.into(),
         millis: millis32(time),
-        crashed: matches!(event.status, RunStatus::Crashed(_)),
-        crash_suspect: event.status == RunStatus::Crashed(CrashRole::Suspect),
+        // Entries of the previous version take a known suspect for one of a new crash.
+        crashed: matches!(event.status, RunStatus::Crashed(_) | RunStatus::KnownSuspect),
+        crash_suspect: matches!(
+            event.status,
+            RunStatus::Crashed(CrashRole::Suspect) | RunStatus::KnownSuspect
+        ),
         crash_unconfirmed: event.status == RunStatus::Crashed(CrashRole::Unconfirmed),
+        crash_known: event.status == RunStatus::KnownSuspect,
     }
 }
 
@@ -90,6 +98,7 @@
         proto::TaskFate::StaleRun => RunStatus::StaleRun,
         proto::TaskFate::Done => RunStatus::Done(time),
         proto::TaskFate::Failed => RunStatus::Failed,
+        proto::TaskFate::Stopped if wire.crash_known => RunStatus::KnownSuspect,
         proto::TaskFate::Stopped if wire.crashed => RunStatus::Crashed(crash_role_from_proto(wire)),
         proto::TaskFate::Stopped => RunStatus::Stopped,
         proto::TaskFate::Slow => RunStatus::Slow(time),
@@ -108,6 +117,71 @@
     }
 }
 
+/// Converts a crash record and the time since the crash to their message.
+pub(crate) fn crash_to_proto(record: &CrashRecord, age: Duration) -> proto::CrashRecord {
+    let role = match record.role {
+        CrashRole::Suspect => proto::CrashRole::Suspect,
+        CrashRole::Bystander => proto::CrashRole::Bystander,
+        CrashRole::Unconfirmed => proto::CrashRole::Unconfirmed,
+    };
+    proto::CrashRecord {
+        run: Some(run_to_proto(&record.run)),
+        vm: record.vm.to_string(),
+        role: role.into(),
+        age_ms: millis32(age),
+    }
+}
+
+/// Converts a crash record from its message; returns `None` if it has no valid run or role.
+pub(crate) fn crash_from_proto(wire: &proto::CrashRecord) -> Option<(CrashRecord, Duration)> {
+    let role = match wire.role() {
+        proto::CrashRole::Unspecified => return None,
+        proto::CrashRole::Suspect => CrashRole::Suspect,
+        proto::CrashRole::Bystander => CrashRole::Bystander,
+        proto::CrashRole::Unconfirmed => CrashRole::Unconfirmed,
+    };
+    let run = run_from_proto(wire.run.as_ref()?)?;
+    let record = CrashRecord { run, vm: wire.vm.as_str().into(), role };
+    Some((record, from_millis32(wire.age_ms)))
+}
+
+/// Converts all records of a log to messages.
+pub(crate) fn crashes_to_proto(now: Duration, log: &CrashLog) -> Vec<proto::CrashRecord> {
+    log.records(now).map(|(record, age)| crash_to_proto(record, age)).collect()
+}
+
+pub(crate) fn report_to_proto(report: &EndpointReport) -> proto::EndpointReport {
+    proto::EndpointReport {
+        id: report.id.to_string(),
+        incarnation: report.incarnation,
+        service: report.service.to_string(),
+        cpu_millis: report.capacity.cpu_millis,
+        memory_mb: report.capacity.memory_mb,
+        gpus: report.capacity.gpus,
+        kind: report.kind.to_string(),
+        rack: report.rack.to_string(),
+        draining: report.draining,
+        sequence: report.sequence,
+    }
+}
+
+pub(crate) fn report_from_proto(wire: &proto::EndpointReport) -> EndpointReport {
+    EndpointReport {
+        id: wire.id.as_str().into(),
+        incarnation: wire.incarnation,
+        service: wire.service.as_str().into(),
+        capacity: Resources {
+            cpu_millis: wire.cpu_millis,
+            memory_mb: wire.memory_mb,
+            gpus: wire.gpus,
+        },
+        kind: wire.kind.as_str().into(),
+        rack: wire.rack.as_str().into(),
+        draining: wire.draining,
+        sequence: wire.sequence,
+    }
+}
+
 pub(crate) fn status_to_proto(status: &EndpointStatus) -> proto::EndpointStatus {
     proto::EndpointStatus {
         usable: status.usable,
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -7,7 +7,8 @@
 
 use bytes::Bytes;
 use cowslipwing_dispatch::{
-    Action, AgentId, Answer, Decision, EntryId, RequestId, RouteTable, Scheduler, SchedulerSettings,
+    Action, AgentId, Answer, Decision, EndpointReport, EntryId, ReportMemory, RequestId,
+    RouteTable, Scheduler, SchedulerSettings,
 };
 use cowslipwing_platform::{StoreClient, decode_config};
 use cowslipwing_proto::EntryFrame;
@@ -15,7 +16,7 @@
 use cowslipwing_types::{Clock, SortedMap, to_millis};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::convert::order_to_proto;
+use crate::convert::{crash_to_proto, crashes_to_proto, order_to_proto, report_to_proto};
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::wire_ids::run_to_proto;
@@ -68,6 +69,8 @@
     /// request.
     waiters: Mutex<SortedMap<RequestId, Vec<oneshot::Sender<Answer>>>>,
     active_config: Mutex<ActiveConfig>,
+    /// Endpoint reports to return to agents that restart.
+    endpoint_reports: Mutex<ReportMemory>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -105,6 +108,7 @@
             streams: Mutex::default(),
             waiters: Mutex::default(),
             active_config: Mutex::default(),
+            endpoint_reports: Mutex::default(),
         }
     }
 
@@ -162,6 +166,11 @@
                     let frame = frames.get_or_insert_with(agent, EntryFrame::default);
                     frame.cancels.push(run_to_proto(&run));
                 }
+                Action::ShareCrash(agent, record, age) => {
+                    self.metrics.count("crash_record_forwarded");
+                    let frame = frames.get_or_insert_with(agent, EntryFrame::default);
+                    frame.crashes.push(crash_to_proto(&record, age));
+                }
                 Action::Answer(id, answer) => self.send_answer(&id, answer),
                 Action::Record(decision) => self.log_decision(&decision),
             }
@@ -188,6 +197,8 @@
             Decision::Returned { .. } => "task_back",
             Decision::Moved { .. } => "task_moved",
             Decision::CrashLimitReached { .. } => "crash_limit_reached",
+            Decision::CrashLimitKnown { .. } => "crash_limit_known",
+            Decision::CrashLearned { .. } => "crash_record_learned",
             Decision::QueueContained { .. } => "queue_contained",
             Decision::AgentLost { .. } => "agent_lost",
         });
@@ -287,12 +298,32 @@
         lock(&self.store_answered_at).is_some()
     }
 
-    /// Returns the first frame of a stream, which names this entry and the known entries.
+    /// Returns the first frame of a stream, which names this entry and the known entries, and tells
+    /// the crashes that this entry remembers.
     pub(super) fn hello_frame(&self) -> EntryFrame {
         EntryFrame {
             entry: self.id.to_string(),
-            entries: self.members.list().iter().map(ToString::to_string).collect(),
+            entries: self.known_entries(),
+            crashes: crashes_to_proto(self.now(), self.scheduler().crash_log()),
             ..EntryFrame::default()
         }
     }
+
+    /// Returns the addresses of the known entries.
+    pub(super) fn known_entries(&self) -> Vec<String> {
+        self.members.list().iter().map(ToString::to_string).collect()
+    }
+
+    /// Remembers the latest report of an agent's endpoint.
+    pub(super) fn remember_report(&self, agent: &AgentId, report: EndpointReport) {
+        lock(&self.endpoint_reports).insert(agent.vm_name(), report);
+    }
+
+    /// Returns the frame that tells an agent the latest known report of its endpoint, if there is
+    /// one.
+    pub(super) fn report_frame(&self, agent: &AgentId) -> Option<EntryFrame> {
+        let reports = lock(&self.endpoint_reports);
+        let report = reports.get(agent.vm_name()).map(report_to_proto)?;
+        Some(EntryFrame { report: Some(report), ..EntryFrame::default() })
+    }
 }
--- a/crates/node/src/entry/streams.rs
+++ b/crates/node/src/entry/streams.rs
@@ -17,7 +17,7 @@
 
 use super::shared::{AgentStream, Shared};
 use crate::STREAM_TIMEOUT;
-use crate::convert::{event_from_proto, status_from_proto};
+use crate::convert::{crash_from_proto, event_from_proto, report_from_proto, status_from_proto};
 use crate::members::parse_addresses;
 use crate::wire_ids::run_from_proto;
 
@@ -66,7 +66,7 @@
             log::info!("entry: event=entry-known address={address} source=peer");
         }
         let config = self.shared.config_newer_than(req.config_version).unwrap_or_default();
-        let entries = self.shared.members.list().iter().map(ToString::to_string).collect();
+        let entries = self.shared.known_entries();
         Ok(Response::new(ExchangeReply { config: config.to_vec(), entries }))
     }
 }
@@ -119,7 +119,7 @@
         // Entries that start together join the list one by one; one frame announces several.
         if changes.has_changed().unwrap_or(false) {
             changes.mark_unchanged();
-            frame.entries = shared.hello_frame().entries;
+            frame.entries = shared.known_entries();
         }
         if tx.send(frame).is_err() {
             return;
@@ -145,10 +145,20 @@
         let hello: AgentHello = first.hello.take().unwrap_or_default();
         let held: Vec<TaskRun> = hello.held.iter().filter_map(run_from_proto).collect();
         log::info!("entry: event=attached agent={} held={}", self.agent, held.len());
+        if let Some(report) = &first.report {
+            self.shared.remember_report(&self.agent, report_from_proto(report));
+        }
+        // The agent must know the capacity of its endpoint before the first order.
+        if let Some(frame) = self.shared.report_frame(&self.agent) {
+            // If the stream has already ended, the caller notices.
+            let _ = tx.send(frame);
+        }
         let stream = AgentStream { tx, heard_ms: first.clock_ms, stream_id: self.stream_id };
         self.shared.streams().insert(self.agent.clone(), stream);
         let events: Vec<_> = first.events.iter().filter_map(event_from_proto).collect();
         self.shared.with_scheduler(|scheduler, now| {
+            let crashes = first.crashes.iter().filter_map(crash_from_proto);
+            scheduler.on_crash_records(now, &self.agent, crashes);
             for event in &events {
                 scheduler.on_task_event(now, &self.agent, event);
             }
@@ -170,8 +180,14 @@
                 _ => return,
             }
         }
+        if let Some(report) = &frame.report {
+            self.shared.remember_report(&self.agent, report_from_proto(report));
+        }
         self.shared.with_scheduler(|scheduler, now| {
             scheduler.on_heartbeat(now, &self.agent);
+            // The records precede the events of the lost runs, which decide by the counts.
+            let crashes = frame.crashes.iter().filter_map(crash_from_proto);
+            scheduler.on_crash_records(now, &self.agent, crashes);
             for event in frame.events.iter().filter_map(event_from_proto) {
                 scheduler.on_task_event(now, &self.agent, &event);
             }
