Let a contained queue use healthy endpoints outside its part

A contained queue had a fixed quarter of the endpoints and its jobs were refused once these were down or full. The quarter is now an area that its tasks prefer and leave where they would be late, while most endpoints are up. The area grows as runs complete, and has a usable endpoint with each required label.

--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -224,6 +224,10 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
+        if job.tasks[index].is_suspect() && self.containment.is_contained(&job.spec.queue) {
+            self.give_up_suspect(id, index);
+            return;
+        }
         let (spec, name) = (job.spec.clone(), job.tasks[index].name.clone());
         let tasks_per_agent = job.tasks_per_agent(name.step);
         let step = &spec.steps[usize::from(name.step)];
@@ -411,6 +415,7 @@
             expected_run_time.as_secs_f64() / expected_work.as_secs_f64().max(MIN_WORK_SECS);
         let work = run_time.mul_f64(1.0 / slowness.max(MIN_SLOWNESS));
         self.predictor.observe(&job.spec.queue, declared_run_time, work);
+        self.containment.on_completed(&job.spec.queue);
         if job.is_done() {
             self.end_job(&name.request, Some(Answer::Completed));
         } else {
--- a/crates/dispatch/src/scheduler/decision.rs
+++ b/crates/dispatch/src/scheduler/decision.rs
@@ -115,6 +115,13 @@
         /// Number of endpoints that its tasks may use.
         endpoints: usize,
     },
+    /// A job of a contained queue is given up, because a task of it is suspected of a crash.
+    SuspectGivenUp {
+        /// The task.
+        task: TaskName,
+        /// Name of the queue.
+        queue: CompactString,
+    },
     /// An agent was silent until all leases expired, so that none of its tasks can still run.
     AgentLost {
         /// The agent.
@@ -173,6 +180,9 @@
             Self::QueueContained { queue, endpoints } => {
                 write!(f, "event=contained queue={queue} endpoints={endpoints}")
             }
+            Self::SuspectGivenUp { task, queue } => {
+                write!(f, "event=suspect-given-up task={task} queue={queue}")
+            }
             Self::AgentLost { agent, silence } => {
                 write!(f, "event=lost agent={agent} silence_ms={}", silence.as_millis())
             }
--- a/crates/dispatch/src/scheduler/selection.rs
+++ b/crates/dispatch/src/scheduler/selection.rs
@@ -25,6 +25,9 @@
 const UNRELIABLE_ENDPOINT_COST: f64 = 4.0;
 /// Extra cost of an endpoint that a contained queue uses, and which may crash at any time.
 const CONTAINED_ENDPOINT_COST: f64 = 1.0;
+/// Extra cost of an endpoint outside the area of a contained queue. A task leaves the area if it would
+/// most likely be late there.
+const OUTSIDE_AREA_COST: f64 = 0.7;
 /// Standard deviation of the logarithm of work that was derived from progress.
 const OBSERVED_WORK_LOG_STD_DEV: f64 = 0.05;
 
@@ -95,13 +98,19 @@
             elapsed: now.saturating_sub(job.sent_at),
             caller_time_left: job.deadline.saturating_sub(now),
         };
+        let area = self.containment.area(&spec.queue, step.required_label.as_deref(), |vm| {
+            self.has_usable_endpoint(now, vm)
+        });
+        let is_outside = |agent: &AgentId| area.as_ref().is_some_and(|area| !area.contains(agent));
+        let may_leave_area = area.is_none() || self.may_leave_area(now, &spec.service);
+        let areas_of_others = self.containment.areas_of_others(&spec.queue);
         let mut best: Option<(f64, &AgentId, Forecast)> = None;
         for (position, (agent, endpoint)) in self.endpoints.iter().enumerate() {
             if position % stride != rotation % stride || !endpoint.is_usable(now, suspect_after) {
                 continue;
             }
             if !endpoint.can_run(&spec.service, step)
-                || !self.containment.allows(&spec.queue, agent)
+                || (!may_leave_area && is_outside(agent))
                 || excluded_vms.iter().any(|vm| vm == agent.vm_name())
                 || is_step_limit_reached(step, agent, tasks_per_agent)
             {
@@ -118,9 +127,14 @@
             if avoid == Some(agent) {
                 cost += AVOIDED_AGENT_COST;
             }
-            if self.containment.is_used_by_other(&spec.queue, agent) {
+            if areas_of_others.iter().any(|area| area.contains(agent)) {
                 cost += CONTAINED_ENDPOINT_COST;
             }
+            // Tasks of a job leave the area together, so that they crash one endpoint at most where
+            // it has room for all.
+            if is_outside(agent) && !job.tasks.iter().any(|task| task.is_sent_to(agent)) {
+                cost += OUTSIDE_AREA_COST;
+            }
             if endpoint.status.failure_rate > max_failure_rate {
                 cost += UNRELIABLE_ENDPOINT_COST;
             }
--- a/crates/dispatch/src/scheduler/task.rs
+++ b/crates/dispatch/src/scheduler/task.rs
@@ -71,6 +71,11 @@
         self.state == TaskState::Waiting && !self.may_have_started
     }
 
+    /// Returns whether the task is suspected of a crash.
+    pub(super) fn is_suspect(&self) -> bool {
+        !self.excluded_vms.is_empty()
+    }
+
     /// Returns whether the task was sent to `agent` and is not known to have ended.
     pub(super) fn is_sent_to(&self, agent: &AgentId) -> bool {
         matches!(&self.state, TaskState::Sent { agent: sent_to, .. } if sent_to == agent)
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -200,6 +200,7 @@
             Decision::CrashLimitKnown { .. } => "crash_limit_known",
             Decision::CrashLearned { .. } => "crash_record_learned",
             Decision::QueueContained { .. } => "queue_contained",
+            Decision::SuspectGivenUp { .. } => "suspect_given_up",
             Decision::AgentLost { .. } => "agent_lost",
         });
         log::info!("entry: {decision}");
