--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -2,12 +2,15 @@
 //!
 //! Resources are reserved before a start is sent. They are released when the endpoint lists the end
 //! of the run, or when the start can no longer be carried out. During short bursts of load, tasks
-//! that do not fit at once wait in the order of their latest useful start, and return to their
+//! that do not fit at once wait in the order of priority and latest useful start, and return to their
 //! entry when that moment has passed.
 
+mod evacuation;
 mod held_task;
 mod incarnation;
 mod listing;
+mod progress;
+mod queue_order;
 mod report;
 mod start;
 mod status;
@@ -25,6 +28,7 @@
 use crate::samples::{Samples, SlownessEstimator};
 use crate::scheduler::{RunStatus, TaskEvent};
 
+use evacuation::ColdStart;
 use held_task::{HeldTask, Phase};
 
 pub use report::{
@@ -95,7 +99,7 @@
     entry_leases: SortedMap<EntryId, Duration>,
     slowness_estimator: SlownessEstimator,
     /// Outcomes of recent runs: 0 if the task completed, 1 if it failed or if its start was refused
-    /// as [`StartRefusal::Unhealthy`].
+    /// as [`StartRefusal::Unhealthy`] or [`StartRefusal::NotSent`].
     failures: Samples,
     /// Crashes of this endpoint and of others.
     crash_log: CrashLog,
@@ -103,6 +107,12 @@
     is_listening: bool,
     /// Whether the agent is stopping and accepts no tasks.
     is_draining: bool,
+    /// Whether the data centre is evacuated, so that no task may start.
+    is_evacuated: bool,
+    /// Time until which the endpoint is slow after its start, by its most recent report.
+    cold_until: Duration,
+    /// Limit of the endpoint's use after an evacuation, if it was cold when the evacuation ended.
+    cold_start: Option<ColdStart>,
     actions: Vec<ExecutorAction>,
 }
 
@@ -125,6 +135,9 @@
             crash_log: CrashLog::default(),
             is_listening: true,
             is_draining: false,
+            is_evacuated: false,
+            cold_until: Duration::ZERO,
+            cold_start: None,
             actions: Vec::new(),
         }
     }
@@ -244,6 +257,7 @@
             return;
         }
         let is_refused = self.is_draining
+            || self.is_evacuated
             || self.held.contains(&name)
             || self.endpoint.as_ref().is_none_or(|endpoint| {
                 endpoint.draining || !endpoint.capacity.can_fit(order.resources)
--- a/crates/dispatch/src/executor/incarnation.rs
+++ b/crates/dispatch/src/executor/incarnation.rs
@@ -46,6 +46,13 @@
             self.on_new_incarnation();
         }
         let draining = report.draining;
+        // A report that an entry or the store remembers has no cold time, and must not end the one
+        // that the same report had when it was announced.
+        let is_known = self.endpoint.as_ref().is_some_and(|endpoint| {
+            endpoint.incarnation == report.incarnation && endpoint.sequence == report.sequence
+        });
+        let cold_until = now + report.cold_remaining;
+        self.cold_until = if is_known { cold_until.max(self.cold_until) } else { cold_until };
         self.endpoint = Some(report);
         if draining {
             self.return_queued();
--- a/crates/dispatch/src/executor/start.rs
+++ b/crates/dispatch/src/executor/start.rs
@@ -34,18 +34,12 @@
         if !self.can_start(now) {
             return;
         }
-        let mut queued: Vec<(bool, Duration, TaskName)> = self
-            .held
-            .iter()
-            .filter(|(_, held)| held.phase == Phase::Queued)
-            .map(|(name, held)| (held.objective_missed, held.latest_start, name.clone()))
-            .collect();
+        let queued = self.queue_order(now);
         if queued.is_empty() {
             return;
         }
-        queued.sort();
-        let mut free = self.unreserved();
-        for (_, _, name) in queued {
+        let mut free = self.offered(now);
+        for name in queued {
             self.try_start(now, &name, &mut free);
         }
     }
@@ -62,13 +56,15 @@
             && accepts_tasks
             && self.unknown_runs.is_empty()
             && !self.is_draining
+            && !self.is_evacuated
     }
 
     fn try_start(&mut self, now: Duration, name: &TaskName, free: &mut FreeResources) {
         let Some(held) = self.held.get(name) else {
             return;
         };
-        if !free.fits(held.resources) || self.is_step_limit_reached(name, held.max_per_endpoint) {
+        let fits = free.fits(held.resources) || self.is_idle_cold_start(now);
+        if !fits || self.is_step_limit_reached(name, held.max_per_endpoint) {
             return;
         }
         if !self.has_lease(now, &held.entry) {
@@ -146,6 +142,7 @@
     /// Sends another copy of an unanswered start. The endpoint accepts each run only once.
     fn resend_start(&mut self, now: Duration, name: &TaskName) {
         let is_silent = !self.is_listening
+            || self.is_evacuated
             || self.last_listing_at.is_none_or(|at| now >= at + RESEND_LISTING_AGE);
         let Some(held) = self.held.get_mut(name) else {
             return;
@@ -165,7 +162,7 @@
     fn on_start_refused(&mut self, now: Duration, run: &TaskRun, refusal: StartRefusal) {
         match refusal {
             StartRefusal::OldRun => self.remove_and_report(&run.task, RunStatus::StaleRun),
-            StartRefusal::Unhealthy => {
+            StartRefusal::Unhealthy | StartRefusal::NotSent => {
                 self.failures.add(now, 1.0);
                 self.remove_and_report(&run.task, RunStatus::NotStarted);
             }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,12 +18,15 @@
 //!   next.
 
 mod attachment;
+mod connection_budget;
 mod crash_log;
+mod evacuation;
 mod executor;
 mod id;
 mod job;
 mod placement;
 mod predictor;
+mod priority;
 mod reply_tracker;
 mod report_memory;
 mod resources;
@@ -32,7 +35,12 @@
 mod scheduler;
 
 pub use attachment::{KnownEntry, MAX_ENTRIES_PER_AGENT, select_entries};
+pub use connection_budget::{ConnectionBudget, ConnectionDecision, ConnectionLoad};
 pub use crash_log::{CrashCount, CrashLog, CrashRecord};
+pub use evacuation::{
+    EvacuationFeed, EvacuationNotice, EvacuationNotices, EvacuationState, EvacuationVersion,
+    Evacuations, FullEvacuationRead,
+};
 pub use executor::{
     EndpointReport, Executor, ExecutorAction, ExecutorSettings, Listing, ReceivedOrder, RunOutcome,
     StartOutcome, StartRefusal, TaskEnd, TaskProgress,
@@ -44,11 +52,13 @@
     QueuedCpu, exceedance_probability,
 };
 pub use predictor::{Predictor, WorkEstimate};
+pub use priority::{CpuByPriority, PRIORITY_CLASSES, priority_class};
 pub use reply_tracker::{EndpointActivity, ReplyTracker};
 pub use report_memory::ReportMemory;
 pub use resources::{FreeResources, Resources};
 pub use route::{Route, RouteTable};
-pub use samples::{Samples, SlownessEstimator};
+pub use samples::{EndpointCondition, Samples, SlownessEstimator};
 pub use scheduler::{
-    Action, CrashRole, Decision, RunStatus, Scheduler, SchedulerSettings, TaskEvent, TaskOrder,
+    Action, CrashRole, Decision, RackChoice, RackDecision, RackSurvey, RunStatus, Scheduler,
+    SchedulerSettings, TaskEvent, TaskOrder,
 };
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -10,13 +10,14 @@
 
 use crate::job::ContractTerms;
 use crate::predictor::WorkEstimate;
+use crate::priority::CpuByPriority;
 use crate::resources::{FreeResources, Resources};
 
 /// Time from sending an order until the endpoint starts the task, plus the time for the answer to
 /// return.
-const TRANSFER_TIME: Duration = Duration::from_millis(12);
+pub(crate) const TRANSFER_TIME: Duration = Duration::from_millis(12);
 /// Standard deviation of the transfer time, in seconds.
-const TRANSFER_STD_DEV: f64 = 0.008;
+pub(crate) const TRANSFER_STD_DEV: f64 = 0.008;
 /// Weight of the squared load of an endpoint, relative to the risk of missing the objective.
 const LOAD_WEIGHT: f64 = 0.25;
 /// Weight of the failure rate of an endpoint, relative to the risk of missing the objective.
@@ -24,11 +25,11 @@
 /// Scale at which the logistic function approximates the normal distribution.
 const LOGISTIC_SCALE: f64 = 1.702;
 /// Value of a late answer, relative to one in time.
-const LATE_ANSWER_VALUE: f64 = 0.2;
+pub(crate) const LATE_ANSWER_VALUE: f64 = 0.2;
 /// Standard deviation of an endpoint's slowness, relative to the slowness.
-const SLOWNESS_REL_STD_DEV: f64 = 0.15;
+pub(crate) const SLOWNESS_REL_STD_DEV: f64 = 0.15;
 /// Standard deviation of a predicted wait, relative to the wait.
-const WAIT_REL_STD_DEV: f64 = 0.4;
+pub(crate) const WAIT_REL_STD_DEV: f64 = 0.4;
 /// Minimum standard deviation, in seconds.
 const MIN_STD_DEV: f64 = 0.001;
 /// Lower bound of the slowness used in predictions.
@@ -66,6 +67,12 @@
     pub failure_rate: f64,
     /// Number of orders that the agent had received on its stream when it sent the status.
     pub orders_seen: u64,
+    /// Processor time reserved for started tasks, by the priority of their queue; zero if the agent
+    /// does not report it.
+    pub started_cpu: CpuByPriority,
+    /// Processor time that queued tasks require, by the priority of their queue; zero if the agent
+    /// does not report it.
+    pub queued_cpu: CpuByPriority,
 }
 
 /// Upper bounds of the slack classes in [`QueuedCpu`]; the last class has none.
@@ -169,6 +176,20 @@
     }
 }
 
+impl PlacementRequest {
+    /// Returns the probability that the caller times out before a task that waits and runs for
+    /// these times ends.
+    fn timeout_probability(&self, wait_secs: f64, run_secs: f64) -> f64 {
+        let used_secs = TRANSFER_TIME.as_secs_f64() + wait_secs + run_secs;
+        let deviations = [
+            self.work.log_std_dev * run_secs,
+            SLOWNESS_REL_STD_DEV * run_secs,
+            WAIT_REL_STD_DEV * wait_secs,
+        ];
+        exceedance_probability(self.caller_time_left.as_secs_f64() - used_secs, &deviations)
+    }
+}
+
 impl Candidate<'_> {
     /// Predicts how a task would perform at this endpoint.
     ///
@@ -193,16 +214,11 @@
             TRANSFER_STD_DEV,
         ];
         let late_probability = exceedance_probability(slack_secs - wait_secs, &deviations);
-        let spare_secs = request.caller_time_left.as_secs_f64()
-            - TRANSFER_TIME.as_secs_f64()
-            - wait_secs
-            - run_secs;
-        let deviations = [
-            request.work.log_std_dev * run_secs,
-            SLOWNESS_REL_STD_DEV * run_secs,
-            WAIT_REL_STD_DEV * wait_secs,
-        ];
-        let timeout_probability = exceedance_probability(spare_secs, &deviations);
+        let other_probability = request.work.other_probability;
+        let other_run_secs = run_secs * request.work.other_ratio;
+        let timeout_probability = (1.0 - other_probability)
+            * request.timeout_probability(wait_secs, run_secs)
+            + other_probability * request.timeout_probability(wait_secs, other_run_secs);
         Forecast {
             wait,
             run_time: Duration::from_secs_f64(run_secs),
--- a/crates/dispatch/src/report_memory.rs
+++ b/crates/dispatch/src/report_memory.rs
@@ -17,6 +17,7 @@
 /// # Examples
 ///
 /// ```
+/// use std::time::Duration;
 /// use cowslipwing_dispatch::{EndpointReport, ReportMemory, Resources};
 ///
 /// let report = |sequence, cpu_millis| EndpointReport {
@@ -27,6 +28,7 @@
 ///     kind: "a".into(),
 ///     rack: "r1".into(),
 ///     draining: false,
+///     cold_remaining: Duration::ZERO,
 ///     sequence,
 /// };
 /// let mut memory = ReportMemory::default();
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -7,14 +7,21 @@
 mod decision;
 mod deferral;
 mod endpoint;
+mod evacuation;
+mod locality;
 mod message;
 mod migration;
+mod overload;
+mod retry_after;
 mod selection;
 mod task;
+mod usage;
+mod withdrawal;
 
 use std::time::Duration;
 
-use cowslipwing_types::SortedMap;
+use compact_str::CompactString;
+use cowslipwing_types::{Site, SortedMap};
 
 use crate::crash_log::CrashLog;
 use crate::id::{AgentId, RequestId, TaskName, TaskRun};
@@ -25,10 +32,14 @@
 use containment::Containment;
 use deferral::{DeferredJob, WarmUp};
 use endpoint::Endpoint;
+use locality::NearWaits;
+use overload::Overload;
 use selection::EndpointQuery;
 use task::{Job, Task, TaskState};
+use withdrawal::MAX_HOLD_TIME;
 
 pub use decision::Decision;
+pub use locality::{RackChoice, RackDecision, RackSurvey};
 pub use message::{Action, CrashRole, RunStatus, TaskEvent, TaskOrder};
 
 /// Network delay between the caller's first attempt and the arrival of the request, and likewise
@@ -66,6 +77,8 @@
 /// The open jobs of an entry and the endpoints that they may use.
 pub struct Scheduler {
     settings: SchedulerSettings,
+    /// Data centre of the entry; empty if it is not known.
+    site: CompactString,
     endpoints: SortedMap<AgentId, Endpoint>,
     jobs: SortedMap<RequestId, Job>,
     /// Jobs that wait for the first endpoints, oldest first.
@@ -75,6 +88,10 @@
     containment: Containment,
     /// Crashes under tasks of this and other entries.
     crash_log: CrashLog,
+    /// Evacuated data centres.
+    evacuated_sites: Vec<Site>,
+    overload: Overload,
+    near_waits: NearWaits,
     actions: Vec<Action>,
 }
 
@@ -83,6 +100,7 @@
     pub fn new(settings: SchedulerSettings) -> Self {
         Self {
             settings,
+            site: CompactString::default(),
             endpoints: SortedMap::new(),
             jobs: SortedMap::new(),
             deferred: Vec::new(),
@@ -90,10 +108,18 @@
             predictor: Predictor::default(),
             containment: Containment::default(),
             crash_log: CrashLog::default(),
+            evacuated_sites: Vec::new(),
+            overload: Overload::default(),
+            near_waits: NearWaits::default(),
             actions: Vec::new(),
         }
     }
 
+    /// Sets the data centre of the entry, whose endpoints are preferred where others are equal.
+    pub fn set_site(&mut self, site: &str) {
+        self.site = site.into();
+    }
+
     /// Returns the actions to carry out since the last call.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
@@ -143,7 +169,8 @@
         match self.admit(now, &job) {
             Ok(()) => self.start(now, job),
             Err(refusal) => {
-                if let Err((job, refusal)) = self.defer(now, job, refusal) {
+                if let Err(refused) = self.defer(now, job, refusal) {
+                    let (job, refusal) = *refused;
                     self.refuse(now, &job, refusal);
                 }
             }
@@ -153,6 +180,7 @@
     /// Places the first tasks of an admitted job.
     fn start(&mut self, now: Duration, job: Job) {
         let id = job.spec.id.clone();
+        self.record_demand(&job.spec, true);
         self.record_admitted(now, &job);
         self.jobs.insert(id.clone(), job);
         self.place_ready(now, &id);
@@ -171,11 +199,16 @@
     }
 
     fn refuse(&mut self, now: Duration, job: &Job, refusal: AdmissionRefusal) {
-        let AdmissionRefusal { reason, response_time, retry_after } = refusal;
+        let AdmissionRefusal { reason, response_time, yields_to, retry_after } = refusal;
+        if reason == RefusalReason::Load {
+            self.record_demand(&job.spec, false);
+        }
         let id = job.spec.id.clone();
         let decision = Decision::Refused {
             id: id.clone(),
             queue: job.spec.queue.clone(),
+            priority: job.spec.terms.priority,
+            yields_to,
             reason,
             load: self.load(&job.spec.service),
             endpoints: self.usable_endpoints(now),
@@ -183,7 +216,7 @@
             objective: job.objective.saturating_sub(now),
         };
         self.actions.push(Action::Record(decision));
-        let answer = if job.may_have_started() {
+        let answer = if job.is_known_to_have_started() {
             // An endpoint crashed under a run of an earlier attempt, so a refusal would be untrue.
             Answer::GaveUp { reason: GiveUpReason::Crashes, retry_after }
         } else {
@@ -196,9 +229,9 @@
     fn load(&self, service: &str) -> f64 {
         let mut capacity = 0.0;
         let mut free = 0.0;
-        for endpoint in
-            self.endpoints.values().filter(|endpoint| endpoint.status.service == service)
-        {
+        let is_counted =
+            |endpoint: &&Endpoint| endpoint.status.service == service && !endpoint.evacuated;
+        for endpoint in self.endpoints.values().filter(is_counted) {
             capacity += f64::from(endpoint.status.capacity.cpu_millis);
             free += f64::from(endpoint.free().cpu_millis);
             free -= f64::from(endpoint.status.queued.total());
@@ -208,12 +241,16 @@
 
     /// Places all tasks of a job whose dependencies are done.
     fn place_ready(&mut self, now: Duration, id: &RequestId) {
+        if self.is_withdrawn(id) {
+            self.settle_withdrawal(now, id);
+            return;
+        }
         let Some(job) = self.jobs.get(id) else {
             return;
         };
         for index in job.ready() {
             self.place_task(now, id, index);
-            if !self.jobs.contains(id) {
+            if !self.jobs.contains(id) || self.is_withdrawn(id) {
                 return;
             }
         }
@@ -221,6 +258,10 @@
 
     /// Sends a task to the best endpoint, or ends the job if the task can no longer succeed.
     fn place_task(&mut self, now: Duration, id: &RequestId, index: usize) {
+        if self.is_withdrawn(id) {
+            self.settle_withdrawal(now, id);
+            return;
+        }
         let Some(job) = self.jobs.get(id) else {
             return;
         };
@@ -229,6 +270,15 @@
             return;
         }
         let (spec, name) = (job.spec.clone(), job.tasks[index].name.clone());
+        let has_data_rack = spec.steps[usize::from(name.step)].data_rack.is_some();
+        let rack_choice =
+            if has_data_rack { self.wait_or_choose_rack(now, id, index) } else { RackChoice::Any };
+        if matches!(rack_choice, RackChoice::Wait { .. }) {
+            return;
+        }
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
         let tasks_per_agent = job.tasks_per_agent(name.step);
         let step = &spec.steps[usize::from(name.step)];
         let task = &job.tasks[index];
@@ -237,15 +287,21 @@
             avoid,
             excluded_vms: &task.excluded_vms,
             tasks_per_agent: &tasks_per_agent,
+            rack_choice,
             ..EndpointQuery::initial(step, task.rotation())
         };
-        let selected = self.select_endpoint(now, job, query);
+        let selected = self.select_endpoint(now, job, query).or_else(|| {
+            let query = EndpointQuery { rack_choice: RackChoice::Any, ..query };
+            if has_data_rack { self.select_endpoint(now, job, query) } else { None }
+        });
         let Some(selected) = selected else {
             self.keep_waiting_or_end(now, id, index);
             return;
         };
         let forecast = selected.forecast;
-        if forecast.timeout_probability > MAX_TIMEOUT_PROBABILITY {
+        // The task was admitted, and is not refused because of its wait for the rack of its data.
+        let has_waited = task.near_wait.is_some() && task.last_run == 0;
+        if forecast.timeout_probability > MAX_TIMEOUT_PROBABILITY && !has_waited {
             self.end_unserved(now, id);
             return;
         }
@@ -272,7 +328,7 @@
         let Some(endpoint) = self.endpoints.get_mut(&selected.agent) else {
             return;
         };
-        endpoint.on_sent(resources);
+        endpoint.on_sent(resources, spec.terms.priority);
         let decision = Decision::Sent {
             run: order.run.clone(),
             agent: selected.agent.clone(),
@@ -282,6 +338,9 @@
             status_age: now.saturating_sub(endpoint.heard_at),
         };
         self.actions.push(Action::Record(decision));
+        if has_data_rack {
+            self.record_rack(now, id, index, &selected.agent);
+        }
         self.actions.push(Action::Order(selected.agent, order));
     }
 
@@ -293,32 +352,23 @@
             return;
         };
         job.tasks[index].state = TaskState::Waiting;
-        if now + MIN_TIME_LEFT > job.deadline || !job.has_started() || !has_endpoint {
-            self.end_unserved(now, id);
-        }
-    }
-
-    /// Ends a job that can no longer be served in time.
-    fn end_unserved(&mut self, now: Duration, id: &RequestId) {
-        let Some(job) = self.jobs.get(id) else {
-            return;
-        };
-        let retry_after = self.settings.entry_lease;
-        let answer = if job.may_have_started() {
-            Answer::GaveUp { reason: GiveUpReason::Deadline, retry_after }
-        } else if self.usable_endpoints(now) == 0 {
-            Answer::Refused { reason: RefusalReason::NoEndpoint, retry_after }
+        let min_time_left = if job.has_sent_tasks() && !job.is_known_to_have_started() {
+            MIN_TIME_LEFT + MAX_HOLD_TIME + CALLER_NETWORK_DELAY
         } else {
-            Answer::Refused { reason: RefusalReason::Load, retry_after }
+            MIN_TIME_LEFT
         };
-        self.end_job(id, Some(answer));
+        let may_wait = job.has_started() || job.tasks[index].near_wait.is_some();
+        if now + min_time_left > job.deadline || !may_wait || !has_endpoint {
+            self.end_unserved(now, id);
+        }
     }
 
     /// Ends a job and cancels its tasks at agents.
     fn end_job(&mut self, id: &RequestId, answer: Option<Answer>) {
-        let Some(job) = self.jobs.remove(id) else {
+        let Some(mut job) = self.jobs.remove(id) else {
             return;
         };
+        self.drop_near_waits(&mut job);
         for task in &job.tasks {
             if let TaskState::Sent { agent, cancelled: false, .. } = &task.state {
                 let run = TaskRun { task: task.name.clone(), number: task.last_run };
@@ -386,14 +436,27 @@
                 }
                 self.place_task(now, &name.request, index);
             }
-            RunStatus::Slow(left) => self.consider_move(now, name, index, agent, left, None),
+            RunStatus::Slow(left) => {
+                self.record_running(now, name, index);
+                let work = self.confirmed_work(now, name, index, left);
+                self.consider_move(now, name, index, agent, left, work);
+            }
             RunStatus::Overrun(left) => {
+                self.record_running(now, name, index);
                 let work = self.observed_work(now, name, index, left);
                 self.consider_move(now, name, index, agent, left, work);
             }
         }
     }
 
+    /// Records that a task is known to run.
+    fn record_running(&mut self, now: Duration, name: &TaskName, index: usize) {
+        if let Some(job) = self.jobs.get_mut(&name.request) {
+            job.tasks[index].may_have_started = true;
+        }
+        self.settle_withdrawal(now, &name.request);
+    }
+
     fn find_sent(&self, name: &TaskName, agent: &AgentId, run_number: u32) -> Option<usize> {
         let job = self.jobs.get(&name.request)?;
         let index = job.index_of(name)?;
@@ -460,6 +523,8 @@
                 self.on_task_event(now, &agent, &TaskEvent { run, status: RunStatus::Stopped });
             }
         }
+        self.sample_usage(now);
+        self.expire_withdrawals(now);
         let is_timed_out = |job: &Job| now >= job.deadline;
         let ids: Vec<RequestId> = self
             .jobs
@@ -471,6 +536,7 @@
             self.end_unserved(now, &id);
         }
         self.retry_deferred(now);
+        self.review_near_waits(now);
         self.place_waiting(now);
     }
 }
--- a/crates/dispatch/src/scheduler/containment.rs
+++ b/crates/dispatch/src/scheduler/containment.rs
@@ -18,6 +18,7 @@
 use crate::id::{AgentId, RequestId};
 use crate::job::{Answer, GiveUpReason};
 
+use super::endpoint::Endpoint;
 use super::{Action, Decision, Scheduler};
 
 /// Time without a suspected crash after which a queue is no longer contained.
@@ -44,6 +45,7 @@
 /// A queue whose tasks are confined.
 struct ContainedQueue {
     until: Duration,
+    service: CompactString,
     /// Endpoints of the service, in the order in which they join the area.
     ranked: Vec<RankedEndpoint>,
     /// Number of endpoints in the area beyond the first quarter.
@@ -162,7 +164,8 @@
         }
         let ranked = self.rank_for_containment(queue, service);
         let until = now + CONTAINMENT_PERIOD;
-        let contained = ContainedQueue { until, ranked, grown: 0, completed: 0 };
+        let contained =
+            ContainedQueue { until, service: service.into(), ranked, grown: 0, completed: 0 };
         if !is_contained {
             let endpoints = contained.area(None).0.len();
             let decision = Decision::QueueContained { queue: queue.clone(), endpoints };
@@ -171,13 +174,23 @@
         self.containment.queues.insert(queue.clone(), contained);
     }
 
+    /// Ranks the endpoints of the contained queues again, after the evacuated data centres have
+    /// changed.
+    pub(super) fn update_contained_vms(&mut self) {
+        let mut queues = std::mem::take(&mut self.containment.queues);
+        for (queue, contained) in queues.iter_mut() {
+            contained.ranked = self.rank_for_containment(queue, &contained.service);
+        }
+        self.containment.queues = queues;
+    }
+
     /// Returns the share of a service's endpoints that take no tasks.
     fn down_share(&self, now: Duration, service: &str) -> f64 {
         let suspect_after = self.settings.suspect_after;
         let (mut down, mut known) = (0, 0);
-        for endpoint in
-            self.endpoints.values().filter(|endpoint| endpoint.status.service == service)
-        {
+        let is_counted =
+            |endpoint: &&Endpoint| endpoint.status.service == service && !endpoint.evacuated;
+        for endpoint in self.endpoints.values().filter(is_counted) {
             known += 1;
             down += u32::from(!endpoint.is_usable(now, suspect_after));
         }
@@ -211,8 +224,10 @@
     /// Returns the endpoints of a service in the order in which a contained queue may use them.
     /// Rendezvous hashing gives all entries similar orders, whichever endpoints are down.
     fn rank_for_containment(&self, queue: &str, service: &str) -> Vec<RankedEndpoint> {
-        let in_service =
-            self.endpoints.iter().filter(|(_, endpoint)| endpoint.status.service == service);
+        let in_service = self
+            .endpoints
+            .iter()
+            .filter(|(_, endpoint)| endpoint.status.service == service && !endpoint.evacuated);
         let mut ranked: Vec<RankedEndpoint> = in_service
             .map(|(agent, endpoint)| RankedEndpoint {
                 vm: agent.vm_name().into(),
--- a/crates/dispatch/src/scheduler/selection.rs
+++ b/crates/dispatch/src/scheduler/selection.rs
@@ -9,8 +9,8 @@
 use crate::placement::{Candidate, Forecast, PlacementRequest};
 use crate::predictor::WorkEstimate;
 
-use super::Scheduler;
 use super::task::Job;
+use super::{RackChoice, Scheduler};
 
 /// Maximum number of endpoints compared for a task.
 const MAX_CANDIDATES: usize = 96;
@@ -28,6 +28,9 @@
 /// Extra cost of an endpoint outside the area of a contained queue. A task leaves the area if it would
 /// most likely be late there.
 const OUTSIDE_AREA_COST: f64 = 0.7;
+/// Extra cost of an endpoint in another data centre than the entry, so that equal endpoints are used
+/// where the caller's request came in. It outweighs a difference in load of about a tenth.
+const OTHER_SITE_COST: f64 = 0.03;
 /// Standard deviation of the logarithm of work that was derived from progress.
 const OBSERVED_WORK_LOG_STD_DEV: f64 = 0.05;
 
@@ -47,6 +50,8 @@
     pub(super) excluded_vms: &'a [CompactString],
     /// Number of tasks of the step at each agent.
     pub(super) tasks_per_agent: &'a [(AgentId, u32)],
+    /// Restriction to the rack of the data or to the others; it applies to steps that name a rack.
+    pub(super) rack_choice: RackChoice,
 }
 
 impl<'a> EndpointQuery<'a> {
@@ -59,6 +64,7 @@
             avoid: None,
             excluded_vms: &[],
             tasks_per_agent: &[],
+            rack_choice: RackChoice::Any,
         }
     }
 }
@@ -78,16 +84,15 @@
         job: &Job,
         query: EndpointQuery<'_>,
     ) -> Option<SelectedEndpoint> {
-        let EndpointQuery { step, rotation, observed_work, avoid, excluded_vms, tasks_per_agent } =
-            query;
+        let EndpointQuery { step, rotation, observed_work, avoid, excluded_vms, .. } = query;
         let suspect_after = self.settings.suspect_after;
-        let count = self.endpoints.len();
+        let count = self.endpoints.values().filter(|endpoint| !endpoint.evacuated).count();
         let stride = count.div_ceil(MAX_CANDIDATES).max(1);
         let max_failure_rate = self.max_failure_rate(now);
         let spec = &job.spec;
         let predicted = self.predictor.predict_work(&spec.queue, step.declared_run_time);
         let work = match observed_work {
-            Some(median) => WorkEstimate { median, log_std_dev: OBSERVED_WORK_LOG_STD_DEV },
+            Some(median) => WorkEstimate::of_one_size(median, OBSERVED_WORK_LOG_STD_DEV),
             None => predicted,
         };
         let request = PlacementRequest {
@@ -105,25 +110,35 @@
         let may_leave_area = area.is_none() || self.may_leave_area(now, &spec.service);
         let areas_of_others = self.containment.areas_of_others(&spec.queue);
         let mut best: Option<(f64, &AgentId, Forecast)> = None;
-        for (position, (agent, endpoint)) in self.endpoints.iter().enumerate() {
+        let candidates = self.endpoints.iter().filter(|(_, endpoint)| !endpoint.evacuated);
+        for (position, (agent, endpoint)) in candidates.enumerate() {
             if position % stride != rotation % stride || !endpoint.is_usable(now, suspect_after) {
                 continue;
             }
             if !endpoint.can_run(&spec.service, step)
                 || (!may_leave_area && is_outside(agent))
                 || excluded_vms.iter().any(|vm| vm == agent.vm_name())
-                || is_step_limit_reached(step, agent, tasks_per_agent)
+                || is_step_limit_reached(step, agent, query.tasks_per_agent)
             {
                 continue;
             }
-            let data_is_remote =
-                step.data_rack.as_ref().is_some_and(|rack| *rack != endpoint.status.rack);
-            let distance_ratio =
-                if data_is_remote { self.settings.remote_run_time_ratio } else { 1.0 };
+            let distance_ratio = match &step.data_rack {
+                None => 1.0,
+                Some(rack) => {
+                    let is_near = *rack == endpoint.status.rack;
+                    if query.rack_choice.excludes(is_near) {
+                        continue;
+                    }
+                    if is_near { 1.0 } else { self.settings.remote_run_time_ratio }
+                }
+            };
             let candidate =
                 Candidate { status: &endpoint.status, free: endpoint.free(), distance_ratio };
             let forecast = candidate.forecast(&request);
             let mut cost = candidate.cost(step.resources, &forecast);
+            if self.is_other_site(&endpoint.status.site) {
+                cost += OTHER_SITE_COST;
+            }
             if avoid == Some(agent) {
                 cost += AVOIDED_AGENT_COST;
             }
@@ -149,6 +164,11 @@
         })
     }
 
+    /// Returns whether an endpoint's data centre is known and is not that of the entry.
+    fn is_other_site(&self, site: &str) -> bool {
+        !site.is_empty() && !self.site.is_empty() && self.site != site
+    }
+
     /// Returns the failure rate above which an endpoint counts as unreliable. If tasks fail at most
     /// endpoints, the tasks are the likely cause, so the limit rises with the median.
     fn max_failure_rate(&self, now: Duration) -> f64 {
@@ -163,7 +183,7 @@
 }
 
 /// Returns whether an agent already has as many tasks of the step as the limit allows.
-fn is_step_limit_reached(
+pub(super) fn is_step_limit_reached(
     step: &StepSpec,
     agent: &AgentId,
     tasks_per_agent: &[(AgentId, u32)],
--- a/crates/dispatch/src/scheduler/task.rs
+++ b/crates/dispatch/src/scheduler/task.rs
@@ -8,6 +8,7 @@
 use crate::id::{AgentId, TaskName, TaskRun};
 use crate::job::JobSpec;
 
+use super::locality::TaskWait;
 use super::{CrashRole, RunStatus};
 
 /// The location of a task.
@@ -44,6 +45,10 @@
     pub(super) avoid: Option<AgentId>,
     /// Whether any run of the task may have started.
     pub(super) may_have_started: bool,
+    /// Number of a run that was reported as slow, and the work that its progress showed.
+    pub(super) slow_run: Option<(u32, Duration)>,
+    /// Wait for the rack of the data, if there was any.
+    pub(super) near_wait: Option<TaskWait>,
 }
 
 impl Task {
@@ -57,6 +62,8 @@
             excluded_vms: Vec::new(),
             avoid: None,
             may_have_started: false,
+            slow_run: None,
+            near_wait: None,
         }
     }
 
@@ -169,6 +176,8 @@
     pub(super) deadline: Duration,
     /// Sorted by name.
     pub(super) tasks: Vec<Task>,
+    /// Time at which the tasks at agents were cancelled, because the job can no longer be served.
+    pub(super) withdrawn_at: Option<Duration>,
 }
 
 impl Job {
@@ -184,6 +193,7 @@
             objective: now + promised.saturating_sub(network_delay),
             deadline: now + spec.caller_timeout.saturating_sub(network_delay),
             tasks,
+            withdrawn_at: None,
             spec: std::sync::Arc::new(spec),
         }
     }
@@ -201,6 +211,7 @@
     pub(super) fn ready(&self) -> Vec<usize> {
         let is_ready = |task: &Task| {
             task.state == TaskState::Waiting
+                && !task.is_waiting_for_rack()
                 && self.spec.steps[usize::from(task.name.step)]
                     .depends_on
                     .iter()
@@ -211,7 +222,9 @@
     }
 
     pub(super) fn has_waiting(&self) -> bool {
-        self.tasks.iter().any(|task| task.state == TaskState::Waiting)
+        let is_waiting =
+            |task: &Task| task.state == TaskState::Waiting && !task.is_waiting_for_rack();
+        self.tasks.iter().any(is_waiting)
     }
 
     pub(super) fn is_done(&self) -> bool {
@@ -223,9 +236,20 @@
         self.tasks.iter().any(|task| !task.is_unstarted())
     }
 
-    /// Returns whether any task may have run or may still start.
-    pub(super) fn may_have_started(&self) -> bool {
-        self.has_started()
+    /// Returns whether any task was sent to an agent and is not known to have ended.
+    pub(super) fn has_sent_tasks(&self) -> bool {
+        self.tasks.iter().any(|task| matches!(task.state, TaskState::Sent { .. }))
+    }
+
+    /// Returns whether any task is done or may have started, apart from those at agents of which
+    /// nothing is known.
+    pub(super) fn is_known_to_have_started(&self) -> bool {
+        self.tasks.iter().any(|task| task.may_have_started || task.state == TaskState::Done)
+    }
+
+    /// Returns whether any task that is not done may have started.
+    pub(super) fn may_have_lost_run(&self) -> bool {
+        self.tasks.iter().any(|task| task.may_have_started && task.state != TaskState::Done)
     }
 
     /// Returns the number of tasks of a step at each agent; empty if the step has no limit.
--- a/crates/dispatch/tests/testsuite/fleet.rs
+++ b/crates/dispatch/tests/testsuite/fleet.rs
@@ -20,9 +20,11 @@
 pub const START: Duration = Duration::from_secs(100);
 /// Time between two steps of the simulation.
 const STEP: Duration = Duration::from_millis(5);
-/// Time that each task takes.
+/// Initial run time of a fleet.
 pub const RUN_TIME: Duration = Duration::from_millis(60);
 const ENDPOINT_CPU_MILLIS: u32 = 8000;
+/// Steps between two statuses of an agent with eight streams, which sends one every 64 ms.
+const STATUS_STEPS: u32 = 13;
 
 /// How an endpoint answers the start of a deadly task before it crashes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -39,14 +41,17 @@
     down_until: Option<Duration>,
     /// Running runs and the times at which they complete.
     pub running: BTreeMap<TaskRun, Duration>,
+    /// Time at which each run was started, also of those that have ended.
+    started_at: BTreeMap<TaskRun, Duration>,
+    cpu_millis: u32,
+    /// Number of orders received from each entry.
+    orders_seen: Vec<u64>,
     ended: Vec<TaskEnd>,
     end_count: u64,
-    /// Number of orders received.
-    orders_seen: u64,
 }
 
 impl Host {
-    fn new(number: usize) -> Self {
+    fn new(number: usize, cpu_millis: u32) -> Self {
         let settings = ExecutorSettings {
             entry_lease: SETTINGS.entry_lease,
             endpoint_lease: SETTINGS.endpoint_lease,
@@ -59,9 +64,11 @@
             incarnation: 1,
             down_until: None,
             running: BTreeMap::new(),
+            started_at: BTreeMap::new(),
+            cpu_millis,
+            orders_seen: Vec::new(),
             ended: Vec::new(),
             end_count: 0,
-            orders_seen: 0,
         }
     }
 
@@ -70,10 +77,11 @@
             id: format!("i-{}", self.incarnation).into(),
             incarnation: self.incarnation,
             service: "desk".into(),
-            capacity: Resources { cpu_millis: ENDPOINT_CPU_MILLIS, memory_mb: 4096, gpus: 0 },
+            capacity: Resources { cpu_millis: self.cpu_millis, memory_mb: 65536, gpus: 0 },
             kind: "a".into(),
             rack: "r1".into(),
             draining: false,
+            cold_remaining: Duration::ZERO,
             sequence: 1,
         }
     }
@@ -88,7 +96,7 @@
     }
 
     /// Restarts the endpoint if its downtime is over, completes runs, and lists what runs.
-    fn advance(&mut self, now: Duration, run_time: Duration) {
+    fn advance(&mut self, now: Duration) {
         if self.down_until.is_some_and(|until| now < until) {
             self.executor.on_not_listening(now);
             return;
@@ -101,20 +109,23 @@
         for (run, _) in self.running.clone().iter().filter(|(_, until)| is_done(until)) {
             self.end(run, RunOutcome::Done);
         }
-        let progress = |(run, until): (&TaskRun, &Duration)| {
-            let left = until.saturating_sub(now).as_secs_f64() / run_time.as_secs_f64();
-            TaskProgress { run: run.clone(), percent: (100.0 * (1.0 - left)) as u32 }
-        };
+        let running = self.running.iter();
         let listing = Listing {
             requested_at: now,
             incarnation: self.incarnation,
             clock_ms: now.as_millis() as u64,
-            running: self.running.iter().map(progress).collect(),
+            running: running.map(|(run, until)| self.progress(now, run, *until)).collect(),
             ended: self.ended.clone(),
         };
         self.executor.on_listing(now, &listing);
     }
 
+    fn progress(&self, now: Duration, run: &TaskRun, until: Duration) -> TaskProgress {
+        let started_at = self.started_at[run];
+        let share = (now - started_at).as_secs_f64() / (until - started_at).as_secs_f64();
+        TaskProgress { run: run.clone(), percent: (share * 100.0) as u32 }
+    }
+
     fn end(&mut self, run: &TaskRun, outcome: RunOutcome) {
         if self.running.remove(run).is_some() {
             self.end_count += 1;
@@ -123,14 +134,19 @@
     }
 }
 
-/// Agents with their endpoints, and the scheduler of one entry.
+/// Agents with their endpoints, and the schedulers of the entries.
 pub struct Fleet {
     pub now: Duration,
-    scheduler: Scheduler,
+    /// One for each entry.
+    schedulers: Vec<Scheduler>,
+    /// Number of jobs submitted, which go to the entries in turn.
+    submitted: usize,
+    /// Number of steps so far.
+    steps: u32,
     pub hosts: Vec<Host>,
     last_reply: LastReply,
     pub downtime: Duration,
-    /// Time that each task takes.
+    /// Time that each task takes whose payload is not a time in milliseconds.
     pub run_time: Duration,
     /// Number of crashes caused by deadly tasks.
     pub crashes: u32,
@@ -138,63 +154,105 @@
     pub orders: u32,
     /// Number of times that a queue was contained.
     pub contained: u32,
+    /// Number of jobs refused for the sake of another priority.
+    pub yielded: u32,
     answers: Vec<(Duration, String, Answer)>,
+    steps_per_status: u32,
 }
 
-fn entry() -> EntryId {
-    "front-1@1".parse().unwrap()
+fn entry(number: usize) -> EntryId {
+    format!("front-{number}@1").parse().unwrap()
+}
+
+fn new_scheduler(size: usize) -> Scheduler {
+    let mut scheduler = Scheduler::new(SETTINGS);
+    scheduler.on_tick(START - WARM_UP);
+    for number in 0..size {
+        scheduler.on_attached(START - WARM_UP, &agent(number), &[]);
+    }
+    scheduler
 }
 
 impl Fleet {
     pub fn new(size: usize, last_reply: LastReply, downtime: Duration) -> Self {
-        let mut scheduler = Scheduler::new(SETTINGS);
-        scheduler.on_tick(START - WARM_UP);
-        for number in 0..size {
-            scheduler.on_attached(START - WARM_UP, &agent(number), &[]);
-        }
+        Self::with_cpu(size, ENDPOINT_CPU_MILLIS, last_reply, downtime)
+    }
+
+    /// Creates a fleet for a lasting load, whose endpoints have this processor time, in thousandths
+    /// of a core. Statuses are sent at the interval that agents with eight streams have.
+    pub fn for_load(entries: usize, size: usize, cpu_millis: u32) -> Self {
+        let mut fleet = Self::with_cpu(size, cpu_millis, LastReply::Started, Duration::ZERO);
+        fleet.schedulers = (0..entries).map(|_| new_scheduler(size)).collect();
+        fleet.hosts.iter_mut().for_each(|host| host.orders_seen = vec![0; entries]);
+        fleet.steps_per_status = STATUS_STEPS;
+        fleet.steps = 0;
+        fleet.step();
+        fleet
+    }
+
+    fn with_cpu(size: usize, cpu_millis: u32, last_reply: LastReply, downtime: Duration) -> Self {
+        let mut hosts: Vec<Host> = (0..size).map(|number| Host::new(number, cpu_millis)).collect();
+        hosts.iter_mut().for_each(|host| host.orders_seen = vec![0]);
         let mut fleet = Self {
             now: START,
-            scheduler,
-            hosts: (0..size).map(Host::new).collect(),
+            schedulers: vec![new_scheduler(size)],
+            submitted: 0,
+            steps: 0,
+            hosts,
             last_reply,
             downtime,
             run_time: RUN_TIME,
             crashes: 0,
             orders: 0,
             contained: 0,
+            yielded: 0,
             answers: Vec::new(),
+            steps_per_status: 1,
         };
         fleet.step();
         fleet
     }
 
     pub fn submit(&mut self, spec: JobSpec) {
-        self.scheduler.submit(self.now, spec);
+        let entry = self.submitted % self.schedulers.len();
+        self.submitted += 1;
+        self.schedulers[entry].submit(self.now, spec);
         self.exchange();
     }
 
     /// Ends a job whose caller has left.
     pub fn abandon(&mut self, id: &str) {
-        self.scheduler.abandon(&id.parse().unwrap());
+        for scheduler in &mut self.schedulers {
+            scheduler.abandon(&id.parse().unwrap());
+        }
         self.exchange();
     }
 
     /// Advances the simulation by one step.
     pub fn step(&mut self) {
         self.now += STEP;
-        let (now, run_time) = (self.now, self.run_time);
+        self.steps += 1;
+        let now = self.now;
         for host in &mut self.hosts {
-            host.executor.on_entry_heartbeat(&entry(), now);
-            host.advance(now, run_time);
+            for number in 0..self.schedulers.len() {
+                host.executor.on_entry_heartbeat(&entry(number), now);
+            }
+            host.advance(now);
             host.executor.on_tick(now);
         }
         self.exchange();
-        for (number, host) in self.hosts.iter().enumerate() {
-            let status = host.executor.status(now);
-            let status = EndpointStatus { orders_seen: host.orders_seen, ..status };
-            self.scheduler.on_status(now, &agent(number), status);
+        for (entry, scheduler) in self.schedulers.iter_mut().enumerate() {
+            for (number, host) in self.hosts.iter().enumerate() {
+                scheduler.on_heartbeat(now, &agent(number));
+                let turn = self.steps + u32::try_from(number).unwrap();
+                if turn.is_multiple_of(self.steps_per_status) || self.steps == 1 {
+                    let orders_seen = host.orders_seen[entry];
+                    let status = EndpointStatus { orders_seen, ..host.executor.status(now) };
+                    scheduler.on_status(now, &agent(number), status);
+                }
+            }
+            scheduler.on_tick(now);
         }
-        self.scheduler.on_tick(now);
         self.exchange();
     }
 
@@ -208,7 +266,12 @@
     /// Carries out actions until none is left.
     fn exchange(&mut self) {
         loop {
-            let actions = self.scheduler.take_actions();
+            let actions: Vec<(usize, Action)> = (0..self.schedulers.len())
+                .flat_map(|entry| {
+                    let actions = self.schedulers[entry].take_actions();
+                    actions.into_iter().map(move |action| (entry, action))
+                })
+                .collect();
             let host_actions: Vec<(usize, ExecutorAction)> = (0..self.hosts.len())
                 .flat_map(|number| {
                     let actions = self.hosts[number].executor.take_actions();
@@ -218,11 +281,10 @@
             if actions.is_empty() && host_actions.is_empty() {
                 return;
             }
-            let now = self.now;
-            self.answers
-                .extend(answers(&actions).into_iter().map(|(id, answer)| (now, id, answer)));
-            for action in actions {
-                self.carry_out(action);
+            for (entry, action) in actions {
+                let given = answers(std::slice::from_ref(&action));
+                self.answers.extend(given.into_iter().map(|(id, answer)| (self.now, id, answer)));
+                self.carry_out(entry, action);
             }
             for (number, action) in host_actions {
                 self.carry_out_at_host(number, action);
@@ -234,24 +296,25 @@
         (0..self.hosts.len()).find(|number| agent(*number) == *wanted).unwrap()
     }
 
-    fn carry_out(&mut self, action: Action) {
+    fn carry_out(&mut self, from: usize, action: Action) {
         match action {
             Action::Order(to, order) => {
                 self.orders += 1;
                 let number = self.host_of(&to);
-                let received = ReceivedOrder { entry: entry(), order };
-                self.hosts[number].orders_seen += 1;
+                let received = ReceivedOrder { entry: entry(from), order };
+                self.hosts[number].orders_seen[from] += 1;
                 self.hosts[number].executor.on_order(self.now, received);
             }
             Action::Cancel(to, run) => {
                 let number = self.host_of(&to);
-                self.hosts[number].executor.on_cancel(self.now, &entry(), &run);
+                self.hosts[number].executor.on_cancel(self.now, &entry(from), &run);
             }
             Action::ShareCrash(to, record, age) => {
                 let number = self.host_of(&to);
                 self.hosts[number].executor.on_crash_records(self.now, [(record, age)]);
             }
             Action::Record(Decision::QueueContained { .. }) => self.contained += 1,
+            Action::Record(Decision::Refused { yields_to: Some(_), .. }) => self.yielded += 1,
             Action::Answer(..) | Action::Record(_) => {}
         }
     }
@@ -273,8 +336,10 @@
                 };
                 host.executor.on_start_reply(now, &run, outcome);
             }
-            ExecutorAction::Start { run, .. } => {
-                host.running.entry(run.clone()).or_insert(now + self.run_time);
+            ExecutorAction::Start { run, payload, .. } => {
+                let run_time = payload.parse().map_or(self.run_time, Duration::from_millis);
+                host.running.entry(run.clone()).or_insert(now + run_time);
+                host.started_at.entry(run.clone()).or_insert(now);
                 host.executor.on_start_reply(now, &run, StartOutcome::Started);
             }
             ExecutorAction::Stop(run) => {
@@ -284,10 +349,13 @@
                 }
             }
             ExecutorAction::ShareCrash(record, age) => {
-                self.scheduler.on_crash_records(now, &agent(number), [(record, age)]);
+                for scheduler in &mut self.schedulers {
+                    scheduler.on_crash_records(now, &agent(number), [(record.clone(), age)]);
+                }
             }
-            ExecutorAction::NotifyEntry(_, event) => {
-                self.scheduler.on_task_event(now, &agent(number), &event);
+            ExecutorAction::NotifyEntry(to, event) => {
+                let to = (0..self.schedulers.len()).find(|number| entry(*number) == to).unwrap();
+                self.schedulers[to].on_task_event(now, &agent(number), &event);
             }
         }
     }
@@ -315,10 +383,20 @@
             max_per_endpoint: 0,
             priority: 0,
         };
-        self.hosts[host].executor.on_order(self.now, ReceivedOrder { entry: entry(), order });
+        self.hosts[host].executor.on_order(self.now, ReceivedOrder { entry: entry(0), order });
         self.exchange();
     }
 
+    /// Returns the processor time that queued tasks require, in thousandths of a core.
+    pub fn queued_cpu(&self) -> u32 {
+        self.hosts.iter().map(|host| host.executor.status(self.now).queued.total()).sum()
+    }
+
+    /// Returns the time and the answer of each answered job, in the order of the answers.
+    pub fn answers(&self) -> &[(Duration, String, Answer)] {
+        &self.answers
+    }
+
     pub fn answer_of(&self, id: &str) -> Option<Answer> {
         self.answers.iter().find(|(_, other, _)| other == id).map(|(_, _, answer)| *answer)
     }
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -7,16 +7,18 @@
 
 use bytes::Bytes;
 use cowslipwing_dispatch::{
-    Action, AgentId, Answer, Decision, EndpointReport, EntryId, ReportMemory, RequestId,
-    RouteTable, Scheduler, SchedulerSettings,
+    Action, AgentId, Answer, Decision, EndpointReport, EntryId, EvacuationNotices, Evacuations,
+    ReportMemory, RequestId, RouteTable, Scheduler, SchedulerSettings,
 };
 use cowslipwing_platform::{StoreClient, decode_config};
 use cowslipwing_proto::EntryFrame;
 use cowslipwing_settings::PlatformConfig;
 use cowslipwing_types::{Clock, SortedMap, to_millis};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::convert::{crash_to_proto, crashes_to_proto, order_to_proto, report_to_proto};
+use crate::convert::{
+    crash_to_proto, crashes_to_proto, order_to_proto, report_to_proto, share_payloads,
+};
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::wire_ids::run_to_proto;
@@ -35,6 +37,8 @@
     pub(super) tx: mpsc::UnboundedSender<EntryFrame>,
     /// Clock of the agent in the most recent frame from it, in milliseconds.
     pub(super) heard_ms: u64,
+    /// Whether the agent accepts orders that share their payload.
+    pub(super) accepts_same_work: bool,
     /// Number of the stream, which distinguishes it from a later stream of the same agent.
     pub(super) stream_id: u64,
 }
@@ -63,6 +67,9 @@
     pub(super) requests_in_flight: Arc<AtomicUsize>,
     /// Time of the store's most recent answer; `None` after a failed call.
     pub(super) store_answered_at: Mutex<Option<Duration>>,
+    /// Known evacuations of data centres. The streams to agents are notified of changes.
+    pub(super) evacuations: watch::Sender<Evacuations>,
+    pub(super) evacuation_notices: Mutex<EvacuationNotices>,
     scheduler: Mutex<Scheduler>,
     streams: Mutex<SortedMap<AgentId, AgentStream>>,
     /// Channels to the callers that wait for each open job; several if a caller repeated its
@@ -73,7 +80,7 @@
     endpoint_reports: Mutex<ReportMemory>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().expect("the locks on the entry's state are never poisoned")
 }
 
@@ -92,6 +99,8 @@
             suspect_after: SUSPECT_AFTER,
             remote_run_time_ratio: config.remote_run_time_ratio,
         };
+        let mut scheduler = Scheduler::new(settings);
+        scheduler.set_site(config.site.as_str());
         let members = Members::new(&config.seeds);
         members.add([address]);
         Self {
@@ -104,7 +113,9 @@
             members,
             requests_in_flight: Arc::new(AtomicUsize::new(0)),
             store_answered_at: Mutex::default(),
-            scheduler: Mutex::new(Scheduler::new(settings)),
+            evacuations: watch::Sender::default(),
+            evacuation_notices: Mutex::default(),
+            scheduler: Mutex::new(scheduler),
             streams: Mutex::default(),
             waiters: Mutex::default(),
             active_config: Mutex::default(),
@@ -181,7 +192,10 @@
         let streams = self.streams();
         for (agent, frame) in frames.iter() {
             if let Some(stream) = streams.get(agent) {
-                let frame = EntryFrame { heard_ms: stream.heard_ms, ..frame.clone() };
+                let mut frame = EntryFrame { heard_ms: stream.heard_ms, ..frame.clone() };
+                if stream.accepts_same_work {
+                    share_payloads(&mut frame.orders);
+                }
                 // If the stream has ended, the scheduler handles the lost frame when the agent
                 // reconnects or is considered lost.
                 let _ = stream.tx.send(frame);
@@ -193,6 +207,8 @@
         self.metrics.count(match decision {
             Decision::Admitted { .. } => "job_admitted",
             Decision::Refused { .. } => "job_refused",
+            Decision::Withdrawn { not_started: true, .. } => "withdrawal_refused",
+            Decision::Withdrawn { not_started: false, .. } => "withdrawal_given_up",
             Decision::Sent { .. } => "task_sent",
             Decision::Returned { .. } => "task_back",
             Decision::Moved { .. } => "task_moved",
@@ -201,8 +217,15 @@
             Decision::CrashLearned { .. } => "crash_record_learned",
             Decision::QueueContained { .. } => "queue_contained",
             Decision::SuspectGivenUp { .. } => "suspect_given_up",
+            Decision::NearWaitBegun { .. } => "near_wait_begun",
+            Decision::NearWaitPaidOff { .. } => "near_wait_paid_off",
+            Decision::NearWaitLost { .. } => "near_wait_lost",
+            Decision::FarFromData { .. } => "task_far_from_data",
             Decision::AgentLost { .. } => "agent_lost",
         });
+        if let Decision::Refused { priority, yields_to: Some(class), .. } = decision {
+            self.metrics.count(&format!("job_refused_p{priority}_for_p{class}"));
+        }
         log::info!("entry: {decision}");
     }
 
@@ -300,12 +323,13 @@
     }
 
     /// Returns the first frame of a stream, which names this entry and the known entries, and tells
-    /// the crashes that this entry remembers.
+    /// the crashes that this entry remembers and the known evacuations.
     pub(super) fn hello_frame(&self) -> EntryFrame {
         EntryFrame {
             entry: self.id.to_string(),
             entries: self.known_entries(),
             crashes: crashes_to_proto(self.now(), self.scheduler().crash_log()),
+            evacuations: self.evacuation_states(),
             ..EntryFrame::default()
         }
     }
