--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -23,6 +23,7 @@
 use compact_str::CompactString;
 use cowslipwing_types::{Site, SortedMap};
 
+use crate::crash_log::CrashLog;
 use crate::id::{AgentId, RequestId, TaskName, TaskRun};
 use crate::job::{Answer, GiveUpReason, JobSpec, RefusalReason};
 use crate::predictor::Predictor;
@@ -85,6 +86,8 @@
     warm_up: WarmUp,
     predictor: Predictor,
     containment: Containment,
+    /// Crashes under tasks of this and other entries.
+    crash_log: CrashLog,
     /// Evacuated data centres.
     evacuated_sites: Vec<Site>,
     overload: Overload,
@@ -104,6 +107,7 @@
             warm_up: WarmUp::default(),
             predictor: Predictor::default(),
             containment: Containment::default(),
+            crash_log: CrashLog::default(),
             evacuated_sites: Vec::new(),
             overload: Overload::default(),
             near_waits: NearWaits::default(),
@@ -157,7 +161,11 @@
             self.actions.push(Action::Answer(id, Answer::GaveUp { reason, retry_after }));
             return;
         }
-        let job = Job::new(now, spec, CALLER_NETWORK_DELAY);
+        let mut job = Job::new(now, spec, CALLER_NETWORK_DELAY);
+        self.count_earlier_crashes(now, &mut job);
+        if self.answer_at_crash_limit(&job) {
+            return;
+        }
         match self.admit(now, &job) {
             Ok(()) => self.start(now, job),
             Err(refusal) => {
@@ -208,7 +216,13 @@
             objective: job.objective.saturating_sub(now),
         };
         self.actions.push(Action::Record(decision));
-        self.actions.push(Action::Answer(id, Answer::Refused { reason, retry_after }));
+        let answer = if job.is_known_to_have_started() {
+            // An endpoint crashed under a run of an earlier attempt, so a refusal would be untrue.
+            Answer::GaveUp { reason: GiveUpReason::Crashes, retry_after }
+        } else {
+            Answer::Refused { reason, retry_after }
+        };
+        self.actions.push(Action::Answer(id, answer));
     }
 
     /// Returns the share of a service's processors that is in use or requested by queued tasks.
@@ -251,6 +265,10 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
+        if job.tasks[index].is_suspect() && self.containment.is_contained(&job.spec.queue) {
+            self.give_up_suspect(id, index);
+            return;
+        }
         let (spec, name) = (job.spec.clone(), job.tasks[index].name.clone());
         let has_data_rack = spec.steps[usize::from(name.step)].data_rack.is_some();
         let (rack_choice, job) = if has_data_rack {
@@ -412,6 +430,7 @@
             RunStatus::Done(run_time) => self.on_done(now, name, index, run_time),
             RunStatus::Failed => self.on_failed(now, name, index, agent),
             RunStatus::Crashed(role) => self.on_crashed(now, index, agent, event, role),
+            RunStatus::KnownSuspect => self.on_known_suspect(now, index, agent, name),
             RunStatus::NotStarted | RunStatus::StaleRun | RunStatus::Stopped => {
                 if let Some(job) = self.jobs.get_mut(&name.request) {
                     job.tasks[index].on_returned(event.status, agent, STALE_RUN_INCREMENT);
@@ -460,6 +479,7 @@
             expected_run_time.as_secs_f64() / expected_work.as_secs_f64().max(MIN_WORK_SECS);
         let work = run_time.mul_f64(1.0 / slowness.max(MIN_SLOWNESS));
         self.predictor.observe(&job.spec.queue, declared_run_time, work);
+        self.containment.on_completed(&job.spec.queue);
         if job.is_done() {
             self.end_job(&name.request, Some(Answer::Completed));
         } else {
--- a/crates/dispatch/src/scheduler/locality/waits.rs
+++ b/crates/dispatch/src/scheduler/locality/waits.rs
@@ -131,11 +131,16 @@
                 || task.excluded_vms.iter().any(|vm| vm == agent.vm_name())
                 || is_step_limit_reached(step, agent, &tasks_per_agent)
         };
+        // Tasks of a contained queue wait only for places in its area, so that they do not crash
+        // endpoints outside it for the sake of a near rack.
+        let label = step.required_label.as_deref();
+        let is_vm_usable = |vm: &str| self.has_usable_endpoint(now, vm);
+        let area = self.containment.area(&job.spec.queue, label, is_vm_usable);
         let mut survey = RackSurvey::default();
         for (agent, endpoint) in self.endpoints.iter() {
             if endpoint.is_usable(now, suspect_after)
                 && endpoint.can_run(&job.spec.service, step)
-                && self.containment.allows(&job.spec.queue, agent)
+                && area.as_ref().is_none_or(|area| area.contains(agent))
                 && !is_excluded(agent)
             {
                 let is_near = endpoint.status.rack == rack;
--- a/crates/dispatch/src/scheduler/selection.rs
+++ b/crates/dispatch/src/scheduler/selection.rs
@@ -25,6 +25,9 @@
 const UNRELIABLE_ENDPOINT_COST: f64 = 4.0;
 /// Extra cost of an endpoint that a contained queue uses, and which may crash at any time.
 const CONTAINED_ENDPOINT_COST: f64 = 1.0;
+/// Extra cost of an endpoint outside the area of a contained queue. A task leaves the area if it would
+/// most likely be late there.
+const OUTSIDE_AREA_COST: f64 = 0.7;
 /// Extra cost of an endpoint in another data centre than the entry, so that equal endpoints are used
 /// where the caller's request came in. It outweighs a difference in load of about a tenth.
 const OTHER_SITE_COST: f64 = 0.03;
@@ -102,6 +105,12 @@
             elapsed: now.saturating_sub(job.sent_at),
             caller_time_left: job.deadline.saturating_sub(now),
         };
+        let area = self.containment.area(&spec.queue, step.required_label.as_deref(), |vm| {
+            self.has_usable_endpoint(now, vm)
+        });
+        let is_outside = |agent: &AgentId| area.as_ref().is_some_and(|area| !area.contains(agent));
+        let may_leave_area = area.is_none() || self.may_leave_area(now, &spec.service);
+        let areas_of_others = self.containment.areas_of_others(&spec.queue);
         let mut best: Option<(f64, &AgentId, Forecast)> = None;
         let candidates = self.endpoints.iter().filter(|(_, endpoint)| !endpoint.evacuated);
         for (position, (agent, endpoint)) in candidates.enumerate() {
@@ -109,7 +118,7 @@
                 continue;
             }
             if !endpoint.can_run(&spec.service, step)
-                || !self.containment.allows(&spec.queue, agent)
+                || (!may_leave_area && is_outside(agent))
                 || excluded_vms.iter().any(|vm| vm == agent.vm_name())
                 || is_step_limit_reached(step, agent, query.tasks_per_agent)
             {
@@ -135,9 +144,14 @@
             if avoid == Some(agent) {
                 cost += AVOIDED_AGENT_COST;
             }
-            if self.containment.is_used_by_other(&spec.queue, agent) {
+            if areas_of_others.iter().any(|area| area.contains(agent)) {
                 cost += CONTAINED_ENDPOINT_COST;
             }
+            // Tasks of a job leave the area together, so that they crash one endpoint at most where
+            // it has room for all.
+            if is_outside(agent) && !job.tasks.iter().any(|task| task.is_sent_to(agent)) {
+                cost += OUTSIDE_AREA_COST;
+            }
             if endpoint.status.failure_rate > max_failure_rate {
                 cost += UNRELIABLE_ENDPOINT_COST;
             }
--- a/crates/dispatch/tests/testsuite/evacuation/agent.rs
+++ b/crates/dispatch/tests/testsuite/evacuation/agent.rs
@@ -73,6 +73,21 @@
     }
 }
 
+/// Guards against a cold endpoint that is filled at once after an entry has returned the agent's own
+/// report, which has no cold time.
+#[test]
+fn a_remembered_report_does_not_end_the_cold_time() {
+    let mut executor = executor();
+    executor.on_report(START, EndpointReport { cold_remaining: ms(800), ..report(2) });
+    executor.on_report(START, report(2));
+    executor.set_evacuated(START, true);
+    executor.set_evacuated(START, false);
+    for index in 0..10 {
+        executor.on_order(START, order(index, 500, ms(500)));
+    }
+    assert_eq!(starts(&executor.take_actions()).len(), 2);
+}
+
 /// Guards against a large task that waits at an idle endpoint until it is warm.
 #[test]
 fn a_large_task_starts_at_an_idle_cold_endpoint() {
--- a/crates/node/src/agent/actor/frames.rs
+++ b/crates/node/src/agent/actor/frames.rs
@@ -50,6 +50,8 @@
                     ..status.clone()
                 }),
                 events: std::mem::take(&mut stream.events),
+                crashes: std::mem::take(&mut stream.crashes),
+                report: std::mem::take(&mut stream.report),
                 evacuations: announced.iter().map(evacuation_to_proto).collect(),
             };
             // If the stream has already ended, a `StreamClosed` event follows.
