--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod attachment;
 mod connection_budget;
+mod crash_log;
 mod evacuation;
 mod executor;
 mod id;
@@ -27,6 +28,7 @@
 mod predictor;
 mod priority;
 mod reply_tracker;
+mod report_memory;
 mod resources;
 mod route;
 mod samples;
@@ -34,6 +36,7 @@
 
 pub use attachment::{KnownEntry, MAX_ENTRIES_PER_AGENT, select_entries};
 pub use connection_budget::{ConnectionBudget, ConnectionDecision, ConnectionLoad};
+pub use crash_log::{CrashCount, CrashLog, CrashRecord};
 pub use evacuation::{
     EvacuationFeed, EvacuationNotice, EvacuationNotices, EvacuationState, EvacuationVersion,
     Evacuations, FullEvacuationRead,
@@ -51,6 +54,7 @@
 pub use predictor::{Predictor, WorkEstimate};
 pub use priority::{CpuByPriority, PRIORITY_CLASSES, priority_class};
 pub use reply_tracker::{EndpointActivity, ReplyTracker};
+pub use report_memory::ReportMemory;
 pub use resources::{FreeResources, Resources};
 pub use route::{Route, RouteTable};
 pub use samples::{EndpointCondition, Samples, SlownessEstimator};
--- a/crates/dispatch/tests/testsuite/fleet.rs
+++ b/crates/dispatch/tests/testsuite/fleet.rs
@@ -20,7 +20,7 @@
 pub const START: Duration = Duration::from_secs(100);
 /// Time between two steps of the simulation.
 const STEP: Duration = Duration::from_millis(5);
-/// Time that each task takes whose payload is not a time in milliseconds.
+/// Initial run time of a fleet.
 pub const RUN_TIME: Duration = Duration::from_millis(60);
 const ENDPOINT_CPU_MILLIS: u32 = 8000;
 /// Steps between two statuses of an agent with eight streams, which sends one every 64 ms.
@@ -51,11 +51,12 @@
 }
 
 impl Host {
-    fn new(cpu_millis: u32) -> Self {
+    fn new(number: usize, cpu_millis: u32) -> Self {
         let settings = ExecutorSettings {
             entry_lease: SETTINGS.entry_lease,
             endpoint_lease: SETTINGS.endpoint_lease,
             longest_lease: ms(1000),
+            vm: agent(number).vm_name().into(),
             site: "here".into(),
         };
         Self {
@@ -97,7 +98,7 @@
     /// Restarts the endpoint if its downtime is over, completes runs, and lists what runs.
     fn advance(&mut self, now: Duration) {
         if self.down_until.is_some_and(|until| now < until) {
-            self.executor.on_not_listening();
+            self.executor.on_not_listening(now);
             return;
         }
         self.down_until = None;
@@ -145,6 +146,8 @@
     pub hosts: Vec<Host>,
     last_reply: LastReply,
     pub downtime: Duration,
+    /// Time that each task takes whose payload is not a time in milliseconds.
+    pub run_time: Duration,
     /// Number of crashes caused by deadly tasks.
     pub crashes: u32,
     /// Number of orders that the entry sent.
@@ -155,8 +158,6 @@
     pub yielded: u32,
     answers: Vec<(Duration, String, Answer)>,
     steps_per_status: u32,
-    /// Whether the statuses count the orders received, so that these are in flight no longer.
-    counts_orders: bool,
 }
 
 fn entry(number: usize) -> EntryId {
@@ -178,21 +179,19 @@
     }
 
     /// Creates a fleet for a lasting load, whose endpoints have this processor time, in thousandths
-    /// of a core. Statuses count the orders received, and are sent at the interval that agents with
-    /// eight streams have.
+    /// of a core. Statuses are sent at the interval that agents with eight streams have.
     pub fn for_load(entries: usize, size: usize, cpu_millis: u32) -> Self {
         let mut fleet = Self::with_cpu(size, cpu_millis, LastReply::Started, Duration::ZERO);
         fleet.schedulers = (0..entries).map(|_| new_scheduler(size)).collect();
         fleet.hosts.iter_mut().for_each(|host| host.orders_seen = vec![0; entries]);
         fleet.steps_per_status = STATUS_STEPS;
-        fleet.counts_orders = true;
         fleet.steps = 0;
         fleet.step();
         fleet
     }
 
     fn with_cpu(size: usize, cpu_millis: u32, last_reply: LastReply, downtime: Duration) -> Self {
-        let mut hosts: Vec<Host> = (0..size).map(|_| Host::new(cpu_millis)).collect();
+        let mut hosts: Vec<Host> = (0..size).map(|number| Host::new(number, cpu_millis)).collect();
         hosts.iter_mut().for_each(|host| host.orders_seen = vec![0]);
         let mut fleet = Self {
             now: START,
@@ -202,13 +201,13 @@
             hosts,
             last_reply,
             downtime,
+            run_time: RUN_TIME,
             crashes: 0,
             orders: 0,
             contained: 0,
             yielded: 0,
             answers: Vec::new(),
             steps_per_status: 1,
-            counts_orders: false,
         };
         fleet.step();
         fleet
@@ -247,7 +246,7 @@
                 scheduler.on_heartbeat(now, &agent(number));
                 let turn = self.steps + u32::try_from(number).unwrap();
                 if turn.is_multiple_of(self.steps_per_status) || self.steps == 1 {
-                    let orders_seen = if self.counts_orders { host.orders_seen[entry] } else { 0 };
+                    let orders_seen = host.orders_seen[entry];
                     let status = EndpointStatus { orders_seen, ..host.executor.status(now) };
                     scheduler.on_status(now, &agent(number), status);
                 }
@@ -310,6 +309,10 @@
                 let number = self.host_of(&to);
                 self.hosts[number].executor.on_cancel(self.now, &entry(from), &run);
             }
+            Action::ShareCrash(to, record, age) => {
+                let number = self.host_of(&to);
+                self.hosts[number].executor.on_crash_records(self.now, [(record, age)]);
+            }
             Action::Record(Decision::QueueContained { .. }) => self.contained += 1,
             Action::Record(Decision::Refused { yields_to: Some(_), .. }) => self.yielded += 1,
             Action::Answer(..) | Action::Record(_) => {}
@@ -334,7 +337,7 @@
                 host.executor.on_start_reply(now, &run, outcome);
             }
             ExecutorAction::Start { run, payload, .. } => {
-                let run_time = payload.parse().map_or(RUN_TIME, Duration::from_millis);
+                let run_time = payload.parse().map_or(self.run_time, Duration::from_millis);
                 host.running.entry(run.clone()).or_insert(now + run_time);
                 host.started_at.entry(run.clone()).or_insert(now);
                 host.executor.on_start_reply(now, &run, StartOutcome::Started);
@@ -345,6 +348,11 @@
                     host.executor.on_stop_confirmed(now, &run);
                 }
             }
+            ExecutorAction::ShareCrash(record, age) => {
+                for scheduler in &mut self.schedulers {
+                    scheduler.on_crash_records(now, &agent(number), [(record.clone(), age)]);
+                }
+            }
             ExecutorAction::NotifyEntry(to, event) => {
                 let to = (0..self.schedulers.len()).find(|number| entry(*number) == to).unwrap();
                 self.schedulers[to].on_task_event(now, &agent(number), &event);
--- a/crates/dispatch/tests/testsuite/locality.rs
+++ b/crates/dispatch/tests/testsuite/locality.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use cowslipwing_dispatch::{
-    Action, Answer, Decision, EndpointStatus, FreeResources, JobSpec, PlacementRequest, RackChoice,
-    RackSurvey, RunStatus, Scheduler, TaskEvent, WorkEstimate,
+    Action, Answer, CrashRole, Decision, EndpointStatus, FreeResources, JobSpec, PlacementRequest,
+    RackChoice, RackSurvey, RunStatus, Scheduler, TaskEvent, WorkEstimate,
 };
 
 use crate::support::{
@@ -116,6 +116,30 @@
     }
 }
 
+/// A contained queue must not wait for an endpoint outside its area. The hash that ranks the endpoints
+/// puts endpoint 0 outside.
+#[test]
+fn a_wait_ends_when_the_queue_is_contained_elsewhere() {
+    let far: Vec<EndpointStatus> = (1..8).map(|_| endpoint("far", 16)).collect();
+    let mut scheduler = scheduler(2.0, &[vec![endpoint("near", 0)], far].concat());
+    scheduler.submit(START, near_job());
+    assert!(orders(&scheduler.take_actions()).is_empty());
+    let unusable = EndpointStatus { usable: false, ..endpoint("far", 16) };
+    scheduler.on_status(START, &agent(7), unusable);
+    scheduler.submit(START, job("deadly", 1, 1000, ms(300)));
+    for _ in 0..2 {
+        let (to, order) = orders(&scheduler.take_actions()).pop().unwrap();
+        let status = RunStatus::Crashed(CrashRole::Suspect);
+        scheduler.on_task_event(START, &to, &TaskEvent { run: order.run, status });
+    }
+    let is_contained = |decision: &Decision| matches!(decision, Decision::QueueContained { .. });
+    assert!(has_decision(&scheduler.take_actions(), is_contained));
+    scheduler.on_tick(START + ms(30));
+    let actions = scheduler.take_actions();
+    assert_ne!(orders(&actions)[0].0, agent(0));
+    assert!(has_decision(&actions, is_lost));
+}
+
 /// A wait that outlasts the latest start far away would lose an objective that no wait keeps.
 #[test]
 fn a_wait_leaves_time_for_a_run_far_away() {
@@ -169,6 +193,18 @@
     assert!(orders(&scheduler.take_actions()).is_empty());
 }
 
+/// A fleet of which only a part is compared for each task must not hide the near rack.
+#[test]
+fn a_near_place_is_found_among_many_endpoints() {
+    let far: Vec<EndpointStatus> = (0..299).map(|_| endpoint("far", 16)).collect();
+    let mut scheduler = scheduler(3.0, &[vec![endpoint("near", 16)], far].concat());
+    let mut spec = near_job();
+    spec.steps[0].count = 8;
+    scheduler.submit(START, spec);
+    let orders = orders(&scheduler.take_actions());
+    assert_eq!(orders.iter().filter(|(to, _)| *to == agent(0)).count(), 8);
+}
+
 /// Tasks that name no rack must be placed as if there were no racks.
 #[test]
 fn without_a_rack_nothing_depends_on_the_ratio() {
--- a/crates/dispatch/tests/testsuite/main.rs
+++ b/crates/dispatch/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod attachment;
 mod connection_budget;
+mod crash_records;
 mod crashes;
 mod deferral;
 mod evacuation;
