--- a/crates/dispatch/src/crash_log.rs
+++ b/crates/dispatch/src/crash_log.rs
@@ -1,6 +1,6 @@
 //! Records of endpoints that crashed under tasks, which agents and entries share.
 //!
-//! A caller hands a job in again at any entry, so that each entry and each agent must know of the
+//! A caller may resubmit a job at any entry, so that each entry and each agent must know of the
 //! crashes that the job's tasks caused elsewhere. Records travel from the agent of the crashed
 //! endpoint over entries and other agents. Retention is bounded in number and time.
 
@@ -13,7 +13,7 @@
 
 /// Maximum number of records that are kept.
 const MAX_RECORDS: usize = 256;
-/// Time from a crash for which its records are kept. Callers hand a job in again within seconds.
+/// Time from a crash for which its records are kept. Callers resubmit a job within seconds.
 const RETENTION: Duration = Duration::from_secs(60);
 
 /// Number of crashes soon after the start of a task from which its job is failed.
--- a/crates/dispatch/src/scheduler/containment.rs
+++ b/crates/dispatch/src/scheduler/containment.rs
@@ -27,12 +27,12 @@
 /// too rare to affect other queues.
 const MIN_DOWN_SHARE: f64 = 0.1;
 /// Share of a service's endpoints that may be down for tasks of a contained queue to leave its area. It
-/// is a little above a area that is down as a whole: at 0.25, five times as many jobs went unserved in
+/// is a little above an area that is down as a whole: at 0.25, five times as many jobs went unserved in
 /// the replay `a_contained_queue_is_served_without_more_crashes`, with as many crashes.
 const MAX_DOWN_SHARE_TO_LEAVE: f64 = 0.3;
 /// Divisor of the number of endpoints that gives the number in the area of a contained queue at first.
 const CONTAINED_ENDPOINTS_DIVISOR: usize = 4;
-/// Number of completed runs for each endpoint of a area after which the area grows by one.
+/// Number of completed runs for each endpoint of an area after which the area grows by one.
 const RUNS_PER_ENDPOINT_TO_GROW: usize = 4;
 
 /// An endpoint of the service of a contained queue.
