Log where the deadline of a job comes from, and which decision ends it

The logs could not distinguish its hypotheses: they held the deadline in force but not who states it, a refusal because the work exceeds the deadline had the reason load at any load, a job given up for a projected overrun looked like one whose caller had left, and cowslipwing-ideal assumed that all callers leave after 1.5 s.

event=admitted and event=refused have deadline_by, refusals the reason deadline, overruns a line of their own, and cowslipwing-ideal takes each job's deadline from its line and lists the largest jobs that were not served (--largest). No decision changes. The test of refusals expects the new reason in place of load.

--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -58,6 +58,37 @@
     pub terms: ContractTerms,
     /// Time for which the caller waits for the answer.
     pub caller_timeout: Duration,
+    /// Where that time is stated.
+    pub timeout_source: TimeoutSource,
+}
+
+/// Where the time for which a caller waits is stated.
+///
+/// # Examples
+///
+/// ```
+/// use cowslipwing_dispatch::TimeoutSource;
+///
+/// assert_eq!(TimeoutSource::Caller.to_string(), "caller");
+/// ```
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TimeoutSource {
+    /// In the request.
+    Caller,
+    /// In the route of the queue.
+    Route,
+    /// Nowhere; a default applies.
+    Default,
+}
+
+impl fmt::Display for TimeoutSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Caller => "caller",
+            Self::Route => "route",
+            Self::Default => "default",
+        })
+    }
 }
 
 impl JobSpec {
@@ -84,6 +115,8 @@
 pub enum RefusalReason {
     /// The load is too high for the job to end in time.
     Load,
+    /// The job is expected to run for longer than its caller waits, at any load.
+    Deadline,
     /// No suitable endpoint is reachable.
     NoEndpoint,
     /// No endpoint of the service has enough resources.
@@ -94,6 +127,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Load => "load",
+            Self::Deadline => "deadline",
             Self::NoEndpoint => "no-endpoint",
             Self::TooLarge => "too-large",
         })
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -46,7 +46,9 @@
     StartOutcome, StartRefusal, TaskEnd, TaskProgress,
 };
 pub use id::{AgentId, EntryId, IdError, RequestId, TaskName, TaskRun};
-pub use job::{Answer, ContractTerms, GiveUpReason, JobSpec, RefusalReason, StepSpec};
+pub use job::{
+    Answer, ContractTerms, GiveUpReason, JobSpec, RefusalReason, StepSpec, TimeoutSource,
+};
 pub use placement::{
     Candidate, DEFAULT_REMOTE_RUN_TIME_RATIO, EndpointStatus, Forecast, PlacementRequest,
     QueuedCpu, exceedance_probability,
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -195,13 +195,14 @@
             load: self.load(&job.spec.service),
             objective: job.objective.saturating_sub(now),
             deadline: job.deadline.saturating_sub(now),
+            timeout_source: job.spec.timeout_source,
         };
         self.actions.push(Action::Record(decision));
     }
 
     fn refuse(&mut self, now: Duration, job: &Job, refusal: AdmissionRefusal) {
         let AdmissionRefusal { reason, response_time, yields_to, retry_after } = refusal;
-        if reason == RefusalReason::Load {
+        if matches!(reason, RefusalReason::Load | RefusalReason::Deadline) {
             self.record_demand(&job.spec, false);
         }
         let id = job.spec.id.clone();
@@ -215,6 +216,8 @@
             endpoints: self.usable_endpoints(now),
             response_time,
             objective: job.objective.saturating_sub(now),
+            deadline: job.deadline.saturating_sub(now),
+            timeout_source: job.spec.timeout_source,
         };
         self.actions.push(Action::Record(decision));
         let answer = if job.is_known_to_have_started() {
--- a/crates/dispatch/src/scheduler/admission.rs
+++ b/crates/dispatch/src/scheduler/admission.rs
@@ -74,8 +74,9 @@
         let yields_to = if times_out || is_late { None } else { self.yields_to(now, &job.spec) };
         if times_out || is_late || yields_to.is_some() {
             let default = forecast.wait.max(MIN_RETRY_AFTER);
+            let is_too_long = times_out && forecast.wait.is_zero();
             return Err(AdmissionRefusal {
-                reason: RefusalReason::Load,
+                reason: if is_too_long { RefusalReason::Deadline } else { RefusalReason::Load },
                 response_time: forecast.response_time(),
                 yields_to,
                 retry_after: self.retry_after(now, &job.spec, default),
--- a/crates/dispatch/src/scheduler/decision.rs
+++ b/crates/dispatch/src/scheduler/decision.rs
@@ -7,7 +7,7 @@
 
 use crate::crash_log::CrashRecord;
 use crate::id::{AgentId, RequestId, TaskName, TaskRun};
-use crate::job::RefusalReason;
+use crate::job::{RefusalReason, TimeoutSource};
 
 use super::RunStatus;
 
@@ -28,6 +28,8 @@
         objective: Duration,
         /// Time until the caller times out.
         deadline: Duration,
+        /// Where the time for which the caller waits is stated.
+        timeout_source: TimeoutSource,
     },
     /// A job was refused.
     Refused {
@@ -49,6 +51,10 @@
         response_time: Duration,
         /// Time until the objective of the job.
         objective: Duration,
+        /// Time until the caller times out.
+        deadline: Duration,
+        /// Where the time for which the caller waits is stated.
+        timeout_source: TimeoutSource,
     },
     /// The tasks of a job that could no longer be served were taken back from agents.
     Withdrawn {
@@ -101,6 +107,18 @@
         /// Time until the answer from another endpoint.
         time_elsewhere: Duration,
     },
+    /// The job of a task is given up, because the task is projected to end after the caller has timed
+    /// out.
+    Overrun {
+        /// The run.
+        run: TaskRun,
+        /// Agent at which it runs.
+        agent: AgentId,
+        /// Remaining run time at its current endpoint.
+        remaining_here: Duration,
+        /// Time until the caller times out.
+        deadline: Duration,
+    },
     /// The job of a task is given up, because endpoints crashed under the task.
     CrashLimitReached {
         /// The task.
@@ -187,13 +205,15 @@
 impl fmt::Display for Decision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Admitted { id, queue, tasks, load, objective, deadline } => write!(
-                f,
-                "event=admitted job={id} queue={queue} tasks={tasks} load={load:.2} \
-                 objective_ms={} deadline_ms={}",
-                objective.as_millis(),
-                deadline.as_millis()
-            ),
+            Self::Admitted { id, queue, tasks, load, objective, deadline, timeout_source } => {
+                write!(
+                    f,
+                    "event=admitted job={id} queue={queue} tasks={tasks} load={load:.2} \
+                     objective_ms={} deadline_ms={} deadline_by={timeout_source}",
+                    objective.as_millis(),
+                    deadline.as_millis()
+                )
+            }
             Self::Refused {
                 id,
                 queue,
@@ -204,13 +224,17 @@
                 endpoints,
                 response_time,
                 objective,
+                deadline,
+                timeout_source,
             } => {
                 write!(
                     f,
                     "event=refused job={id} queue={queue} reason={reason} load={load:.2} \
-                     endpoints={endpoints} end_ms={} objective_ms={} priority={priority}",
+                     endpoints={endpoints} end_ms={} objective_ms={} priority={priority} \
+                     deadline_ms={} deadline_by={timeout_source}",
                     response_time.as_millis(),
-                    objective.as_millis()
+                    objective.as_millis(),
+                    deadline.as_millis()
                 )?;
                 match yields_to {
                     Some(class) => write!(f, " yields_to={class}"),
@@ -240,6 +264,12 @@
                 remaining_here.as_millis(),
                 time_elsewhere.as_millis()
             ),
+            Self::Overrun { run, agent, remaining_here, deadline } => write!(
+                f,
+                "event=overrun task={run} agent={agent} here_ms={} deadline_ms={}",
+                remaining_here.as_millis(),
+                deadline.as_millis()
+            ),
             Self::CrashLimitReached { task, confirmed, possible } => {
                 write!(f, "event=crash-limit task={task} crashes={confirmed} possible={possible}")
             }
--- a/crates/dispatch/src/scheduler/migration.rs
+++ b/crates/dispatch/src/scheduler/migration.rs
@@ -65,10 +65,24 @@
 
     /// Ends a job with a task that its caller will not wait for, and learns from the task's work, of
     /// which no end will tell.
-    fn end_overrun(&mut self, now: Duration, name: &TaskName, work: Duration) {
+    fn end_overrun(
+        &mut self,
+        now: Duration,
+        name: &TaskName,
+        index: usize,
+        agent: &AgentId,
+        left: Duration,
+        work: Duration,
+    ) {
         if let Some(job) = self.jobs.get(&name.request) {
             let declared_run_time = job.spec.steps[usize::from(name.step)].declared_run_time;
             self.predictor.observe(&job.spec.queue, declared_run_time, work);
+            self.actions.push(Action::Record(Decision::Overrun {
+                run: TaskRun { task: name.clone(), number: job.tasks[index].last_run },
+                agent: agent.clone(),
+                remaining_here: left,
+                deadline: job.deadline.saturating_sub(now),
+            }));
         }
         self.end_unserved(now, &name.request);
     }
@@ -100,7 +114,7 @@
         let selected = self.select_endpoint(now, job, query);
         let Some(selected) = selected.filter(|selected| selected.agent != *agent) else {
             if let Some(work) = work.filter(|_| misses_deadline) {
-                self.end_overrun(now, name, work);
+                self.end_overrun(now, name, index, agent, left, work);
             }
             return;
         };
@@ -114,7 +128,7 @@
         let is_much_earlier = end_here > objective && (end_elsewhere - now) * 2 < left;
         if !(saves_objective || saves_answer || is_much_earlier) {
             if let Some(work) = work.filter(|_| misses_deadline) {
-                self.end_overrun(now, name, work);
+                self.end_overrun(now, name, index, agent, left, work);
             }
             return;
         }
--- a/crates/dispatch/tests/testsuite/scheduler.rs
+++ b/crates/dispatch/tests/testsuite/scheduler.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use cowslipwing_dispatch::{
-    Action, AgentId, Answer, CrashRole, RefusalReason, RunStatus, Scheduler, TaskEvent, TaskOrder,
+    Action, AgentId, Answer, CrashRole, JobSpec, RefusalReason, RunStatus, Scheduler, TaskEvent,
+    TaskOrder, TimeoutSource,
 };
 use quickcheck::quickcheck;
 
@@ -63,7 +64,7 @@
             endpoints: 2,
             cpu_millis: 1000,
             declared: ms(60_000),
-            reason: RefusalReason::Load,
+            reason: RefusalReason::Deadline,
         },
     ];
     for case in cases {
@@ -203,6 +204,43 @@
     assert!(matches!(answers(&actions)[..], [(_, Answer::GaveUp { .. })]), "{actions:?}");
     let cancels = actions.iter().filter(|action| matches!(action, Action::Cancel(..)));
     assert_eq!(cancels.count(), 2);
+    // The log tells this decision from the end of the caller's timeout.
+    let overrun = |action: &&Action| match action {
+        Action::Record(decision) => decision.to_string().starts_with("event=overrun task=a1.0.0/1"),
+        _ => false,
+    };
+    assert_eq!(actions.iter().filter(overrun).count(), 1, "{actions:?}");
+}
+
+/// Without its source, a deadline that is not the caller's cannot be told from one that is.
+#[test]
+fn the_log_names_the_source_of_a_deadline() {
+    struct Case {
+        declared: Duration,
+        event: &'static str,
+    }
+    let cases = [
+        Case { declared: ms(50), event: "event=admitted" },
+        Case { declared: ms(60_000), event: "event=refused" },
+    ];
+    for Case { declared, event } in cases {
+        for source in [TimeoutSource::Caller, TimeoutSource::Route, TimeoutSource::Default] {
+            let mut scheduler = scheduler_with(START, &[status(32_000, 1.0)]);
+            let timeout_source = source;
+            scheduler.submit(START, JobSpec { timeout_source, ..job("a1", 1, 1000, declared) });
+            let lines: Vec<String> = scheduler
+                .take_actions()
+                .iter()
+                .filter_map(|action| match action {
+                    Action::Record(decision) => Some(decision.to_string()),
+                    _ => None,
+                })
+                .filter(|line| line.starts_with(event))
+                .collect();
+            let expected = format!("deadline_ms=1492 deadline_by={source}");
+            assert!(matches!(&lines[..], [line] if line.contains(&expected)), "{lines:?}");
+        }
+    }
 }
 
 /// Until all leases after the last contact with an agent have expired, no task that was sent to it
--- a/crates/dispatch/tests/testsuite/support.rs
+++ b/crates/dispatch/tests/testsuite/support.rs
@@ -4,7 +4,7 @@
 
 use cowslipwing_dispatch::{
     Action, AgentId, Answer, ContractTerms, CpuByPriority, EndpointStatus, FreeResources, JobSpec,
-    QueuedCpu, Resources, Scheduler, SchedulerSettings, StepSpec, TaskOrder,
+    QueuedCpu, Resources, Scheduler, SchedulerSettings, StepSpec, TaskOrder, TimeoutSource,
 };
 
 /// The settings that the daemons use.
@@ -53,6 +53,7 @@
         steps: vec![step],
         terms: TERMS,
         caller_timeout: ms(1500),
+        timeout_source: TimeoutSource::Caller,
     }
 }
 
--- a/crates/load/src/bin/cowslipwing-cost.rs
+++ b/crates/load/src/bin/cowslipwing-cost.rs
@@ -7,7 +7,7 @@
 use cowslipwing_claims::{KeyAgeLimits, Ledger, LedgerLimits, Report, Stage, StartRequest};
 use cowslipwing_dispatch::{
     ContractTerms, EndpointStatus, FreeResources, JobSpec, Resources, Scheduler, SchedulerSettings,
-    StepSpec,
+    StepSpec, TimeoutSource,
 };
 use cowslipwing_fold::Fold;
 use cowslipwing_policy::{Capacity, Dispatcher, QueuedJob, Requirements, TaskResult};
@@ -199,6 +199,7 @@
             priority: 0,
         },
         caller_timeout: Duration::from_millis(1500),
+        timeout_source: TimeoutSource::Caller,
     }
 }
 
--- a/crates/load/src/bin/cowslipwing-ideal/history.rs
+++ b/crates/load/src/bin/cowslipwing-ideal/history.rs
@@ -15,10 +15,23 @@
 /// An admitted job, all of whose tasks are known.
 #[derive(Clone, Debug)]
 pub struct Job {
+    pub id: String,
     pub queue: String,
     /// The time of the admission, from the start of the log.
     pub arrival: Duration,
+    /// The time for which its caller waits, if the log states it.
+    pub deadline: Option<Duration>,
     pub tasks: Vec<Task>,
+    /// The decision that ended the job, such as `completed` or `overrun`.
+    pub end: String,
+}
+
+impl Job {
+    /// Returns the requested processor time of all tasks, in core-seconds on an endpoint of speed 1.
+    pub fn core_seconds(&self) -> f64 {
+        let of_task = |task: &Task| task.work.as_secs_f64() * f64::from(task.cpu_millis) / 1000.0;
+        self.tasks.iter().map(of_task).sum()
+    }
 }
 
 /// An endpoint.
@@ -46,6 +59,7 @@
 struct AdmittedJob {
     queue: String,
     arrival: Duration,
+    deadline: Option<Duration>,
     /// The number of tasks.
     tasks: usize,
 }
@@ -106,6 +120,8 @@
     /// Jobs that were given up because a task was expected to end too late, by job id, with that
     /// task.
     overrun: BTreeMap<String, Task>,
+    /// The decisions that ended jobs, by job id.
+    ends: BTreeMap<String, String>,
     /// Endpoints by the VM of their agent.
     endpoints: BTreeMap<String, Endpoint>,
     refused: usize,
@@ -120,6 +136,7 @@
                 let job = AdmittedJob {
                     queue: line.get("queue")?.to_owned(),
                     arrival: line.at,
+                    deadline: line.number("deadline_ms").and_then(from_millis),
                     tasks: line.get("tasks")?.parse().ok()?,
                 };
                 self.jobs.entry(line.get("job")?.to_owned()).or_insert(job);
@@ -138,6 +155,15 @@
                 self.orders.insert(line.get("task")?.to_owned(), order);
                 self.endpoints.get_mut(line.vm)?.slowness = slowness;
             }
+            // The decision comes before the answer that it leads to.
+            "overrun" | "crash-limit" => {
+                let end = line.get("event")?.to_owned();
+                self.ends.entry(job_id(line.get("task")?)?.to_owned()).or_insert(end);
+            }
+            "answered" => {
+                let end = line.get("answer")?.to_lowercase();
+                self.ends.entry(line.get("job")?.to_owned()).or_insert(end);
+            }
             "done" => self.on_done(line)?,
             "task" => self.on_overrun(line)?,
             _ => {}
@@ -147,7 +173,7 @@
 
     fn on_done(&mut self, line: &Line<'_>) -> Option<()> {
         let run = line.get("task")?;
-        let run_time = Duration::try_from_secs_f64(line.number("ms")? / 1000.0).ok()?;
+        let run_time = from_millis(line.number("ms")?)?;
         let ended_task = self.orders.get(run)?.task(run_time);
         let (task, _) = run.rsplit_once('/')?;
         let tasks = self.tasks.entry(job_id(task)?.to_owned()).or_default();
@@ -181,7 +207,9 @@
                 history.incomplete += 1;
                 continue;
             }
-            history.jobs.push(Job { queue: job.queue, arrival: job.arrival, tasks });
+            let end = self.ends.remove(&id).unwrap_or_else(|| "unanswered".to_owned());
+            let AdmittedJob { queue, arrival, deadline, .. } = job;
+            history.jobs.push(Job { id, queue, arrival, deadline, tasks, end });
         }
         history.jobs.sort_by_key(|job| job.arrival);
         history
@@ -193,6 +221,10 @@
     Some(task.split_once('.')?.0)
 }
 
+fn from_millis(millis: f64) -> Option<Duration> {
+    Duration::try_from_secs_f64(millis / 1000.0).ok()
+}
+
 /// Parses a duration such as `999.302662ms` or `1.042224578s`.
 fn parse_seconds(text: &str) -> Option<Duration> {
     let (number, unit) = match text.strip_suffix("ms") {
--- a/crates/load/src/bin/cowslipwing-ideal/main.rs
+++ b/crates/load/src/bin/cowslipwing-ideal/main.rs
@@ -1,6 +1,7 @@
 //! Computes how many of the jobs in a log an ideal scheduler would have answered in time.
 
 mod history;
+mod largest;
 mod schedule;
 
 use std::path::PathBuf;
@@ -27,9 +28,12 @@
     /// Time added to that objective
     #[bpaf(argument::<String>("TIME"), fallback("60ms".to_owned()), parse(|text| parse_duration(&text)))]
     target: Duration,
-    /// Time after which callers stop waiting
+    /// Time after which callers stop waiting, for jobs whose log lines do not state it
     #[bpaf(argument::<String>("TIME"), fallback("1500ms".to_owned()), parse(|text| parse_duration(&text)))]
     patience: Duration,
+    /// Share of the largest jobs of each queue to list if they were not served, 0 to 1
+    #[bpaf(argument("SHARE"), fallback(0.0))]
+    largest: f64,
     /// File with the log lines
     #[bpaf(positional("FILE"))]
     file: PathBuf,
@@ -57,5 +61,8 @@
             central.late
         );
     }
+    if options.largest > 0.0 {
+        largest::report(&history, slo, options.largest);
+    }
     Ok(())
 }
--- a/crates/load/src/bin/cowslipwing-ideal/schedule.rs
+++ b/crates/load/src/bin/cowslipwing-ideal/schedule.rs
@@ -16,7 +16,8 @@
 pub struct Slo {
     pub stretch: f64,
     pub target: Duration,
-    /// The time after which callers stop waiting for an answer.
+    /// The time after which callers stop waiting for an answer, for jobs of which the log does not
+    /// state it.
     pub caller_timeout: Duration,
 }
 
@@ -56,12 +57,19 @@
 
     /// Returns the time at which a job must end to be answered in time.
     fn due(&self, job: &Job) -> Duration {
-        job.arrival + self.objective(job).min(self.caller_timeout)
+        job.arrival + self.objective(job).min(self.caller_timeout(job))
+    }
+
+    /// Returns the time for which the caller of a job waits.
+    pub fn caller_timeout(&self, job: &Job) -> Duration {
+        job.deadline.unwrap_or(self.caller_timeout)
     }
 
     fn classify(&self, job: &Job, response_time: Duration) -> Outcome {
         let objective = self.objective(job);
-        if response_time > self.caller_timeout || response_time > objective.mul_f64(LATE_FACTOR) {
+        if response_time > self.caller_timeout(job)
+            || response_time > objective.mul_f64(LATE_FACTOR)
+        {
             Outcome::Missed
         } else if response_time > objective {
             Outcome::Late
@@ -71,18 +79,21 @@
     }
 }
 
-/// Runs each job alone, each task on the fastest endpoint that is large enough. No scheduler
-/// answers a job earlier.
+/// Returns the response time of a job alone, each task on the fastest endpoint that is large enough.
+/// No scheduler answers it earlier.
+pub fn isolated_time(history: &History, job: &Job) -> Duration {
+    let ends = job.tasks.iter().map(|task| {
+        let large_enough = history.endpoints.iter().filter(|e| e.cpu_millis >= task.cpu_millis);
+        let fastest = large_enough.map(|e| e.slowness).min_by(f64::total_cmp);
+        fastest.map_or(Duration::MAX, |slowness| task.work.mul_f64(slowness))
+    });
+    ends.max().unwrap_or_default()
+}
+
+/// Runs each job alone.
 pub fn isolated_outcomes(history: &History, slo: Slo) -> Vec<Outcome> {
-    let response_time = |job: &Job| {
-        let ends = job.tasks.iter().map(|task| {
-            let large_enough = history.endpoints.iter().filter(|e| e.cpu_millis >= task.cpu_millis);
-            let fastest = large_enough.map(|e| e.slowness).min_by(f64::total_cmp);
-            fastest.map_or(Duration::MAX, |slowness| task.work.mul_f64(slowness))
-        });
-        ends.max().unwrap_or_default()
-    };
-    history.jobs.iter().map(|job| slo.classify(job, response_time(job))).collect()
+    let outcome = |job| slo.classify(job, isolated_time(history, job));
+    history.jobs.iter().map(outcome).collect()
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -168,7 +179,7 @@
         let candidates = std::mem::take(&mut self.waiting);
         for waiting in candidates {
             let job = &self.history.jobs[waiting.job];
-            if now > job.arrival + self.slo.caller_timeout {
+            if now > job.arrival + self.slo.caller_timeout(job) {
                 continue;
             }
             match self.choose(now, waiting) {
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -212,6 +212,7 @@
             Decision::Sent { .. } => "task_sent",
             Decision::Returned { .. } => "task_back",
             Decision::Moved { .. } => "task_moved",
+            Decision::Overrun { .. } => "task_overrun",
             Decision::CrashLimitReached { .. } => "crash_limit_reached",
             Decision::CrashLimitKnown { .. } => "crash_limit_known",
             Decision::CrashLearned { .. } => "crash_record_learned",
