--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -84,6 +84,10 @@
     /// Incarnation that sent the most recent listing.
     listed_incarnation: Option<u64>,
     last_listing_at: Option<Duration>,
+    /// Time at which the most recent listing was requested.
+    listing_requested_at: Duration,
+    /// Time at which the report in `endpoint` arrived.
+    reported_at: Duration,
     /// Agent time and endpoint clock in milliseconds, as of the most recent listing.
     clock: Option<(Duration, u64)>,
     /// Latest lease deadline sent to the endpoint, in milliseconds on its clock.
@@ -124,6 +128,8 @@
             endpoint: None,
             listed_incarnation: None,
             last_listing_at: None,
+            listing_requested_at: Duration::ZERO,
+            reported_at: Duration::ZERO,
             clock: None,
             lease_deadline_ms: 0,
             last_acked: 0,
--- a/crates/dispatch/src/executor/incarnation.rs
+++ b/crates/dispatch/src/executor/incarnation.rs
@@ -21,9 +21,11 @@
     /// capacity changed.
     pub fn on_report(&mut self, now: Duration, report: EndpointReport) -> bool {
         if let Some(endpoint) = &self.endpoint {
-            let is_older = report.incarnation < endpoint.incarnation
-                || (report.incarnation == endpoint.incarnation
-                    && report.sequence < endpoint.sequence);
+            let is_older = if report.incarnation == endpoint.incarnation {
+                report.sequence < endpoint.sequence
+            } else {
+                report.incarnation < endpoint.incarnation && !self.has_disproved(&report)
+            };
             if is_older {
                 return false;
             }
@@ -54,6 +56,7 @@
         let cold_until = now + report.cold_remaining;
         self.cold_until = if is_known { cold_until.max(self.cold_until) } else { cold_until };
         self.endpoint = Some(report);
+        self.reported_at = now;
         if draining {
             self.return_queued();
         }
@@ -61,6 +64,13 @@
         is_changed
     }
 
+    /// Returns whether the endpoint has listed the incarnation of `report` since the known report
+    /// arrived. The known one is then from another writer, or from before a clock was set back.
+    fn has_disproved(&self, report: &EndpointReport) -> bool {
+        self.listed_incarnation == Some(report.incarnation)
+            && self.listing_requested_at > self.reported_at
+    }
+
     /// Handles the departure of the endpoint with this id.
     pub fn on_endpoint_left(&mut self, id: &str) {
         if self.endpoint.as_ref().is_some_and(|endpoint| endpoint.id == id) {
--- a/crates/dispatch/tests/testsuite/executor/incarnations.rs
+++ b/crates/dispatch/tests/testsuite/executor/incarnations.rs
@@ -370,3 +370,18 @@
         assert_eq!(starts(&executor.take_actions()), [run(1)]);
     }
 }
+
+/// Guards against an endpoint that stays unusable after a report from another writer with a start in
+/// the future, or after a restart with the clock set back.
+#[test]
+fn a_report_of_the_listed_incarnation_replaces_one_that_is_not_listed() {
+    let mut executor = executor();
+    executor.on_report(START + ms(10), EndpointReport { incarnation: 4_000_000, ..report(2) });
+    assert!(!executor.status(START + ms(10)).usable);
+    // A listing that was requested before does not disprove the report.
+    executor.on_listing(START + ms(20), &listing(START + ms(5)));
+    assert!(!executor.on_report(START + ms(25), report(3)));
+    executor.on_listing(START + ms(40), &listing(START + ms(30)));
+    assert!(executor.on_report(START + ms(50), report(3)));
+    assert!(executor.status(START + ms(50)).usable);
+}
