Skip addresses of entries at which no process can listen

A port out of range was skipped before; port 0, unspecified, multicast and broadcast addresses were not, and each agent kept trying them. odd_addresses_are_skipped failed before.

--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -1,10 +1,13 @@
 //! The addresses of the known entries.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Mutex;
 
 use tokio::sync::watch;
 
+#[cfg(test)]
+mod tests;
+
 /// The addresses of the entries that a process knows, its own included if it is an entry. Entries
 /// that have stopped stay listed, and requests to them fail.
 pub(crate) struct Members {
@@ -52,11 +55,19 @@
     }
 }
 
-/// Parses addresses. Skips invalid ones, which come from another writer.
+/// Parses addresses. Skips invalid ones and those at which no process can listen, which come from
+/// another writer.
 pub(crate) fn parse_addresses<I>(texts: I) -> Vec<SocketAddr>
 where
     I: IntoIterator,
     I::Item: AsRef<str>,
 {
-    texts.into_iter().filter_map(|text| text.as_ref().parse().ok()).collect()
+    let addresses = texts.into_iter().filter_map(|text| text.as_ref().parse().ok());
+    addresses.filter(is_connectable).collect()
+}
+
+fn is_connectable(address: &SocketAddr) -> bool {
+    let ip = address.ip();
+    let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
 }
