--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -103,21 +103,27 @@
 impl QueuedCpu {
     /// Adds a queued task. Without slack the task is already late.
     pub fn add(&mut self, slack: Option<Duration>, cpu_millis: u32) {
-        self.classes[slack_class(slack)] += cpu_millis;
+        let class = &mut self.classes[slack_class(slack)];
+        *class = class.saturating_add(cpu_millis);
     }
 
     /// Returns the amount for the tasks of the same or a more urgent class, which are assumed to
     /// start before a task with this slack.
     pub fn ahead_of(&self, slack: Duration) -> u32 {
-        self.classes[..=slack_class(Some(slack))].iter().sum()
+        saturating_sum(&self.classes[..=slack_class(Some(slack))])
     }
 
     /// Returns the amount for all queued tasks.
     pub fn total(&self) -> u32 {
-        self.classes.iter().sum()
+        saturating_sum(&self.classes)
     }
 }
 
+/// Returns the sum of amounts that an agent has reported, which may be out of range.
+fn saturating_sum(amounts: &[u32]) -> u32 {
+    amounts.iter().fold(0, |sum, amount| sum.saturating_add(*amount))
+}
+
 fn slack_class(slack: Option<Duration>) -> usize {
     let Some(slack) = slack else {
         return SLACK_BOUNDS.len();
