Answer all open jobs before an entry stops

An entry that stops cut the connections of requests that were still open at the end of its grace period of 6 s (event=cut-off). Jobs may run for 37 s now, so their callers would see a broken connection, which does not tell whether the job has run.

All open jobs are answered 150 ms before the exit, as refused if none of their tasks has started and as given up otherwise, and a job that would outlast the entry is refused at once, so that its caller turns to another entry. The tests of scheduler/stop.rs cannot be built on the code before; there the entry closes its connections without an answer.

--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -121,6 +121,8 @@
     NoEndpoint,
     /// No endpoint of the service has enough resources.
     TooLarge,
+    /// The entry stops before the job would end.
+    Stopping,
 }
 
 impl fmt::Display for RefusalReason {
@@ -130,6 +132,7 @@
             Self::Deadline => "deadline",
             Self::NoEndpoint => "no-endpoint",
             Self::TooLarge => "too-large",
+            Self::Stopping => "stopping",
         })
     }
 }
@@ -143,6 +146,8 @@
     StillOpen,
     /// Several endpoints crashed that had or may have had one of the job's tasks.
     Crashes,
+    /// The entry stops before the job has ended.
+    Stopping,
 }
 
 /// The final answer to a job.
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -15,6 +15,7 @@
 mod overload;
 mod retry_after;
 mod selection;
+mod stop;
 mod task;
 mod usage;
 mod withdrawal;
@@ -93,6 +94,8 @@
     evacuated_sites: Vec<Site>,
     overload: Overload,
     near_waits: NearWaits,
+    /// Time at which the entry answers all open jobs, once it stops.
+    stop_at: Option<Duration>,
     actions: Vec<Action>,
 }
 
@@ -112,6 +115,7 @@
             evacuated_sites: Vec::new(),
             overload: Overload::default(),
             near_waits: NearWaits::default(),
+            stop_at: None,
             actions: Vec::new(),
         }
     }
@@ -455,6 +459,7 @@
         for id in ids {
             self.end_unserved(now, &id);
         }
+        self.end_at_stop(now);
         self.retry_deferred(now);
         self.review_near_waits(now);
         self.place_waiting(now);
--- a/crates/dispatch/src/scheduler/admission.rs
+++ b/crates/dispatch/src/scheduler/admission.rs
@@ -68,6 +68,14 @@
             return Ok(());
         };
         let forecast = longest.forecast;
+        if self.outlasts_stop(now, forecast.response_time()) {
+            return Err(AdmissionRefusal {
+                reason: RefusalReason::Stopping,
+                response_time: forecast.response_time(),
+                yields_to: None,
+                retry_after: MIN_RETRY_AFTER,
+            });
+        }
         let times_out = forecast.timeout_probability > MAX_TIMEOUT_PROBABILITY;
         let is_late = forecast.late_probability > MAX_LATE_PROBABILITY
             && self.load(&job.spec.service) > MAX_LOAD_FOR_LATE_JOBS;
--- a/crates/dispatch/src/scheduler/deferral.rs
+++ b/crates/dispatch/src/scheduler/deferral.rs
@@ -66,7 +66,8 @@
         job: Job,
         refusal: AdmissionRefusal,
     ) -> Result<(), Box<(Job, AdmissionRefusal)>> {
-        let may_become_servable = refusal.reason != RefusalReason::TooLarge;
+        let may_become_servable =
+            !matches!(refusal.reason, RefusalReason::TooLarge | RefusalReason::Stopping);
         let is_full = self.deferred.len() >= MAX_DEFERRED_JOBS;
         if !may_become_servable || is_full || !self.warm_up.is_active(now) {
             return Err(Box::new((job, refusal)));
--- a/crates/dispatch/src/scheduler/withdrawal.rs
+++ b/crates/dispatch/src/scheduler/withdrawal.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use crate::id::{RequestId, TaskRun};
-use crate::job::{Answer, GiveUpReason, RefusalReason};
+use crate::job::{Answer, RefusalReason};
 
 use super::task::{Job, TaskState};
 use super::{Action, Decision, Scheduler};
@@ -59,7 +59,7 @@
         if job.withdrawn_at.is_some() {
             self.settle_withdrawal(now, id);
         } else if job.is_known_to_have_started() {
-            self.give_up(id);
+            self.give_up(now, id);
         } else if job.has_sent_tasks() {
             self.withdraw(now, id);
         } else {
@@ -108,7 +108,7 @@
         if progress == Progress::NotStarted {
             self.refuse_unstarted(now, id);
         } else {
-            self.give_up(id);
+            self.give_up(now, id);
         }
     }
 
@@ -126,9 +126,10 @@
         }
     }
 
-    fn give_up(&mut self, id: &RequestId) {
+    fn give_up(&mut self, now: Duration, id: &RequestId) {
         let retry_after = self.settings.entry_lease;
-        self.end_job(id, Some(Answer::GaveUp { reason: GiveUpReason::Deadline, retry_after }));
+        let reason = self.give_up_reason(now);
+        self.end_job(id, Some(Answer::GaveUp { reason, retry_after }));
     }
 
     fn refuse_unstarted(&mut self, now: Duration, id: &RequestId) {
@@ -136,7 +137,9 @@
             return;
         };
         let retry_after = self.retry_after(now, &job.spec, self.settings.entry_lease);
-        let reason = if self.usable_endpoints(now) == 0 {
+        let reason = if self.is_stop_due(now) {
+            RefusalReason::Stopping
+        } else if self.usable_endpoints(now) == 0 {
             RefusalReason::NoEndpoint
         } else {
             RefusalReason::Load
--- a/crates/dispatch/tests/testsuite/main.rs
+++ b/crates/dispatch/tests/testsuite/main.rs
@@ -14,5 +14,6 @@
 mod reply_tracker;
 mod scheduler;
 mod simulation;
+mod stop;
 mod support;
 mod withdrawal;
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -26,6 +26,9 @@
 const BALANCER_LAG: Duration = Duration::from_millis(2500);
 /// Time before the end of the stop grace period at which the process exits by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the exit at which the open jobs are answered. The answers take up to 50 ms and the way
+/// to the callers.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 /// Interval at which the number of requests in flight is checked while the entry closes.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which deadlines are checked while jobs are open.
@@ -95,6 +98,8 @@
         stop.await;
         let in_flight = self.shared.in_flight();
         log::info!("entry: event=stop entry={} in_flight={in_flight}", self.shared.id);
+        let serves_for = self.stop_grace.saturating_sub(EXIT_MARGIN + ANSWER_MARGIN);
+        self.shared.with_scheduler(|scheduler, now| scheduler.set_stop_at(now + serves_for));
         self.stage.send_replace(Stage::Draining);
         tokio::time::sleep(BALANCER_LAG).await;
         self.stage.send_replace(Stage::Closing);
