Submit long jobs in the soak

The callers of 3% of the jobs wait for 12 s for a task of 2 to 6 s on a route with a timeout of 1.5 s. Most of those after the recovery must be served at their first attempt, and a planned stop must not break the connection of a request that was sent up to 3 s before it.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -21,6 +21,9 @@
 /// Number of failed runs of a task from which its job may be answered as failed; the attempts that
 /// the configuration allows.
 const FAILURES_TO_FAIL: usize = 3;
+/// Least time between the end of another fault and a planned stop for which the stop must not abort
+/// requests. Requests sent in that time count as well.
+pub(crate) const STOP_MARGIN: Duration = Duration::from_secs(3);
 /// Least share of the requests after the recovery that must be served at their first attempt.
 const MIN_SERVED_SHARE: f64 = 0.9;
 
@@ -47,6 +50,8 @@
     ConfigNotInForce(String),
     /// Too few requests after the recovery were served at their first attempt.
     NotRecovered(String),
+    /// Most long jobs after the recovery were not served at their first attempt.
+    LongJobsNotServed(String),
 }
 
 impl fmt::Display for Violation {
@@ -64,6 +69,7 @@
             Self::ConfigReverted(detail) => write!(f, "configuration reverted: {detail}"),
             Self::ConfigNotInForce(detail) => write!(f, "configuration not in force: {detail}"),
             Self::NotRecovered(detail) => write!(f, "service not recovered in time: {detail}"),
+            Self::LongJobsNotServed(detail) => write!(f, "long jobs not served: {detail}"),
         }
     }
 }
@@ -124,6 +130,7 @@
     }
     violations.extend(find_config_violations(probes, timeline));
     violations.extend(find_missing_recovery(requests, timeline));
+    violations.extend(find_unserved_long_jobs(requests, timeline));
     Report {
         requests: requests.len(),
         served: requests.iter().filter(|request| is_served(request)).count(),
@@ -236,7 +243,8 @@
     let aborted_attempt = request.attempts.iter().find(|attempt| {
         let is_within_stop = |stop: &PlannedStop| {
             stop.entry == attempt.entry
-                && stop.from <= attempt.sent_at
+                && stop.from <= attempt.sent_at + STOP_MARGIN
+                && stop.from <= attempt.ended_at
                 && attempt.ended_at <= stop.until
         };
         attempt.outcome == Outcome::Broken && stops.iter().any(is_within_stop)
@@ -284,15 +292,37 @@
     violations
 }
 
-fn find_missing_recovery(requests: &[Request], timeline: &Timeline) -> Option<Violation> {
+/// Counts the requests after the recovery for which `predicate` holds. Returns the number of those
+/// that were served at their first attempt, and of all.
+fn count_after_recovery<F>(
+    requests: &[Request],
+    timeline: &Timeline,
+    predicate: F,
+) -> (usize, usize)
+where
+    F: Fn(&Request) -> bool,
+{
     let is_after_recovery = |request: &&Request| {
-        request.attempts.first().is_some_and(|attempt| attempt.sent_at >= timeline.recovered_by)
+        predicate(request)
+            && request.attempts.first().is_some_and(|first| first.sent_at >= timeline.recovered_by)
     };
     let (mut served, mut total) = (0, 0);
     for request in requests.iter().filter(is_after_recovery) {
         total += 1;
         served += usize::from(request.attempts.len() == 1 && is_served(request));
     }
+    (served, total)
+}
+
+/// Guards against jobs that are given up at the timeout of their route while their callers wait.
+fn find_unserved_long_jobs(requests: &[Request], timeline: &Timeline) -> Option<Violation> {
+    let (served, total) = count_after_recovery(requests, timeline, |request| request.is_long);
+    (total > 1 && served * 2 < total)
+        .then(|| Violation::LongJobsNotServed(format!("{served} of {total} served")))
+}
+
+fn find_missing_recovery(requests: &[Request], timeline: &Timeline) -> Option<Violation> {
+    let (served, total) = count_after_recovery(requests, timeline, |_| true);
     let share = f64::from(served as u32) / f64::from(total.max(1) as u32);
     (share < MIN_SERVED_SHARE)
         .then(|| Violation::NotRecovered(format!("{served} of {total} served")))
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
+use crate::load::REQUEST_TIMEOUT;
 use crate::plan::Fault;
 use crate::process::Daemon;
 use crate::proxy::{LinkBehaviour, Proxy};
@@ -147,7 +148,7 @@
         *probe_routes += 1;
         let route = |name: String, prefix: String| {
             json!({"name": name, "host": "desk.example", "pathPrefix": prefix, "service": "desk",
-                "timeoutMs": 0, "targetLatencyMs": 60, "maxAttempts": 3, "stretch": 2.0})
+                "timeoutMs": REQUEST_TIMEOUT.as_millis() as u64, "targetLatencyMs": 60, "maxAttempts": 3, "stretch": 2.0})
         };
         let mut routes = vec![route("jobs".into(), "/jobs/".into())];
         routes.extend(
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -14,7 +14,14 @@
 use crate::cluster::Cluster;
 
 /// Time after which a request without a reply times out. Jobs are submitted with the same deadline.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(1500);
+/// The route of the jobs has it as its timeout.
+pub(crate) const REQUEST_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time after which the caller of a long job times out, which exceeds the timeout of the route.
+const LONG_JOB_TIMEOUT: Duration = Duration::from_millis(12_000);
+/// Shortest and longest run time of a long job, in milliseconds.
+const LONG_JOB_MS: std::ops::Range<u64> = 2000..6000;
+/// Share of long jobs.
+const LONG_SHARE: f64 = 0.03;
 /// Pause between an attempt without a final reply and the next.
 const RETRY_PAUSE: Duration = Duration::from_millis(1300);
 /// Highest number of attempts of a request.
@@ -29,6 +36,8 @@
 const DEADLY_SEED_SALT: u64 = 0xdead;
 /// Share of the jobs whose tasks crash the endpoints that start them.
 const DEADLY_SHARE: f64 = 0.02;
+/// Value combined with the seed for the choice of long jobs.
+const LONG_SEED_SALT: u64 = 0x10c6;
 
 /// Settings of the submitted jobs.
 pub(crate) struct LoadSettings {
@@ -47,7 +56,7 @@
     Answered(StatusCode, Bytes),
     /// The request could not be sent.
     Unreachable,
-    /// No reply arrived within [`REQUEST_TIMEOUT`].
+    /// No reply arrived before the caller timed out.
     TimedOut,
     /// The connection broke before a reply arrived.
     Broken,
@@ -58,9 +67,18 @@
 pub(crate) struct Request {
     pub(crate) id: String,
     pub(crate) tasks: u32,
+    /// Whether the job runs for longer than the timeout of its route.
+    pub(crate) is_long: bool,
     pub(crate) attempts: Vec<Attempt>,
 }
 
+impl Request {
+    /// Returns the time for which its caller waits for a reply.
+    fn timeout(&self) -> Duration {
+        if self.is_long { LONG_JOB_TIMEOUT } else { REQUEST_TIMEOUT }
+    }
+}
+
 /// An attempt to submit a job to an entry.
 #[derive(Clone, Debug)]
 pub(crate) struct Attempt {
@@ -97,6 +115,7 @@
     let mut rng = StdRng::seed_from_u64(seed ^ LOAD_SEED_SALT);
     // Separate, so that the other choices of a seed do not depend on it.
     let mut deadly_rng = StdRng::seed_from_u64(seed ^ DEADLY_SEED_SALT);
+    let mut long_rng = StdRng::seed_from_u64(seed ^ LONG_SEED_SALT);
     let clients: Arc<Vec<HttpClient>> = Arc::new(
         (0..cluster.entries).map(|entry| HttpClient::new(cluster.caller_address(entry))).collect(),
     );
@@ -109,12 +128,20 @@
         let tasks = rng.random_range(1..5);
         let (ms, cpu) = (rng.random_range(20..120), rng.random_range(500..2000));
         let is_deadly = deadly_rng.random_bool(DEADLY_SHARE) && Instant::now() < deadly_until;
-        let body = if is_deadly { deadly_job_body(ms, cpu) } else { job_body(tasks, ms, cpu) };
-        let tasks = if is_deadly { 1 } else { tasks };
+        let is_long = long_rng.random_bool(LONG_SHARE) && !is_deadly;
+        let tasks = if is_deadly || is_long { 1 } else { tasks };
+        let body = if is_deadly {
+            deadly_job_body(ms, cpu)
+        } else if is_long {
+            job_body(tasks, long_rng.random_range(LONG_JOB_MS), cpu)
+        } else {
+            job_body(tasks, ms, cpu)
+        };
+        let request = Request { id, tasks, is_long, attempts: Vec::new() };
         let (clients, observations) = (clients.clone(), observations.clone());
         let first_entry = rng.random_range(0..cluster.entries);
         callers.spawn(async move {
-            let request = submit_with_retries(&clients, first_entry, id, tasks, body).await;
+            let request = submit_with_retries(&clients, first_entry, request, body).await;
             observations
                 .requests
                 .lock()
@@ -129,19 +156,17 @@
 async fn submit_with_retries(
     clients: &[HttpClient],
     first_entry: usize,
-    id: String,
-    tasks: u32,
+    mut request: Request,
     body: Bytes,
 ) -> Request {
-    let path = format!("/jobs/{id}");
-    let timeout_ms = REQUEST_TIMEOUT.as_millis().to_string();
+    let path = format!("/jobs/{}", request.id);
+    let timeout = request.timeout();
+    let timeout_ms = timeout.as_millis().to_string();
     let headers = [("host", "desk.example"), ("deadline-milliseconds", timeout_ms.as_str())];
-    let mut attempts = Vec::new();
     for attempt in 0..MAX_ATTEMPTS {
         let entry = (first_entry + attempt) % clients.len();
         let sent_at = Instant::now();
-        let reply =
-            clients[entry].call(Method::POST, &path, &headers, body.clone(), REQUEST_TIMEOUT).await;
+        let reply = clients[entry].call(Method::POST, &path, &headers, body.clone(), timeout).await;
         let outcome = match reply {
             Ok(reply) => Outcome::Answered(reply.status, reply.body),
             Err(HttpError::TimedOut { .. }) => Outcome::TimedOut,
@@ -152,13 +177,13 @@
             Outcome::Answered(status, _) => *status == StatusCode::GATEWAY_TIMEOUT,
             _ => true,
         };
-        attempts.push(Attempt { entry, sent_at, ended_at: Instant::now(), outcome });
+        request.attempts.push(Attempt { entry, sent_at, ended_at: Instant::now(), outcome });
         if !must_retry {
             break;
         }
         sleep(RETRY_PAUSE).await;
     }
-    Request { id, tasks, attempts }
+    request
 }
 
 /// Probes an entry for the newest route found in force and for the next one, until aborted.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -10,7 +10,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::time::{sleep, sleep_until};
 
-use crate::check::{PlannedStop, Report, Timeline, check};
+use crate::check::{PlannedStop, Report, STOP_MARGIN, Timeline, check};
 use crate::cluster::Cluster;
 use crate::load::{LoadSettings, Observations, probe_routes, submit_jobs};
 use crate::plan::{Fault, FaultPlan, ScheduledFault};
@@ -23,9 +23,6 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Longest time from a planned stop to the exit of the process.
 const MAX_STOP_TIME: Duration = Duration::from_secs(6);
-/// Least time between the end of another fault and a planned stop for which the stop must not abort
-/// requests.
-const STOP_MARGIN: Duration = Duration::from_secs(3);
 /// Interval at which an entry is asked whether it is ready.
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between the times that stand for a possible restart, in milliseconds.
