--- a/crates/fold/src/contract.rs
+++ b/crates/fold/src/contract.rs
@@ -44,7 +44,7 @@
     pub share: u32,
     /// Maximum number of tasks that run at the same time over all sites.
     pub concurrency: u32,
-    /// Maximum duration of a job whose submission has no deadline.
+    /// Maximum duration of a job. A submission may ask for an earlier deadline.
     pub deadline: Duration,
     /// Maximum share of the submissions in a time window that may be refused. Entries do not
     /// enforce it.
