Give up a job in place of failing it after crashes beside its task

Cause: the limit of three crashes at any time of a task's runs took the task for the culprit. Since jobs run until their callers leave, a price quote of seconds beside deadly gate checks loses three endpoints without having crashed any.

A job is failed for two crashes soon after its starts only. After three crashes of any kind it is given up, so that a task still starts at no more endpoints than before.

--- a/crates/dispatch/src/crash_log.rs
+++ b/crates/dispatch/src/crash_log.rs
@@ -18,9 +18,8 @@
 
 /// Number of crashes soon after the start of a task from which its job is failed.
 const MAX_SUSPECTED: u32 = 2;
-/// Number of crashes at any time of a task's runs from which its job is failed.
-const MAX_CONFIRMED: u32 = 3;
-/// Number of crashes, with or without a confirmed start, from which a job is given up.
+/// Number of crashes at any time of a task's runs, with or without a confirmed start, from which a job
+/// is given up.
 const MAX_POSSIBLE: u32 = 3;
 
 /// The crash of an endpoint under a run. Run and VM identify the record.
@@ -68,9 +67,10 @@
         self.confirmed() + self.unconfirmed
     }
 
-    /// Returns whether the task has certainly crashed as many endpoints as it may.
+    /// Returns whether the task is the likely cause of as many crashes as it may have. A task that runs
+    /// for seconds beside deadly ones loses several endpoints without having crashed any.
     pub fn is_failed(self) -> bool {
-        self.suspect >= MAX_SUSPECTED || self.confirmed() >= MAX_CONFIRMED
+        self.suspect >= MAX_SUSPECTED
     }
 
     /// Returns whether the task may have crashed as many endpoints as it may, so that it must not
--- a/crates/dispatch/src/scheduler/crashes.rs
+++ b/crates/dispatch/src/scheduler/crashes.rs
@@ -2,9 +2,9 @@
 //!
 //! A task may crash every endpoint that starts it. Each start then takes an endpoint away from all
 //! callers for seconds, so the job ends once two endpoints have crashed soon after they had started
-//! the task. A task that had run for longer more likely ran beside the one that caused the crash, and
-//! may survive one crash more. A start that was not confirmed is no proof that the task was there, so
-//! after too many of these the job is given up but not called failed.
+//! the task. A task that had run for longer more likely ran beside the one that caused the crash, and a
+//! start that was not confirmed is no proof that the task was there. Such a task may survive one crash
+//! more, after which its job is given up but not called failed.
 //!
 //! A caller may hand the job in again at another entry. Crash records, which agents and entries share,
 //! keep the count over all attempts: a job whose task has reached the limit is answered at its
