Do not count a pause of the process as waiting for a connection

What callers saw: starts of tasks at an endpoint that answers were refused as not sent after their agent had been paused for 8 ms or more. The agent counts each as a failure of the endpoint, and the task goes elsewhere.

Cause: the limit of 8 ms for the wait is wall-clock time. After a pause the timers of all waiting calls fire in the same pass in which the sockets become readable, so the calls failed before the answers that had arrived were read.

Change: a wait whose timer fires 2 ms or more late is extended by that time.

--- a/crates/dispatch/src/connection_budget.rs
+++ b/crates/dispatch/src/connection_budget.rs
@@ -20,6 +20,9 @@
 /// Maximum time for which a call waits for a connection. Shorter than the 10 ms after which the
 /// executor sends a start again, so that a start that was not sent is known as not started.
 const MAX_WAIT: Duration = Duration::from_millis(8);
+/// Delay of a timer above which the process is taken to have been paused. Timers have a resolution of
+/// a millisecond.
+const MIN_PAUSE: Duration = Duration::from_millis(2);
 /// Number of connections that may be opened without a delay after an answer. A set of tasks opens
 /// several before the first is answered.
 const UNDELAYED_OPENS: u32 = 8;
@@ -96,6 +99,25 @@
         self.opens_since_answer = 0;
     }
 
+    /// Returns the start of a wait, moved by the time for which the process was paused. The wait
+    /// started at `waiting_since`, was to end at `until` at the latest, and ended at `now`. Answers
+    /// that arrived during a pause are read after it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use cowslipwing_dispatch::ConnectionBudget;
+    ///
+    /// let ms = Duration::from_millis;
+    /// assert_eq!(ConnectionBudget::skip_pause(ms(10), ms(18), ms(19)), ms(10));
+    /// assert_eq!(ConnectionBudget::skip_pause(ms(10), ms(18), ms(218)), ms(210));
+    /// ```
+    pub fn skip_pause(waiting_since: Duration, until: Duration, now: Duration) -> Duration {
+        let pause = now.saturating_sub(until);
+        if pause < MIN_PAUSE { waiting_since } else { waiting_since + pause }
+    }
+
     /// Decides for a call that has found no idle connection since `waiting_since`.
     pub fn decide(
         &self,
--- a/crates/dispatch/tests/testsuite/connection_budget.rs
+++ b/crates/dispatch/tests/testsuite/connection_budget.rs
@@ -49,6 +49,32 @@
     }
 }
 
+#[test]
+fn a_wait_lasts_longer_by_a_pause_of_the_process() {
+    struct Case {
+        name: &'static str,
+        ended_at: Duration,
+        waiting_since: Duration,
+    }
+    let until = START + ms(8);
+    let cases = [
+        Case { name: "returned early", ended_at: START + ms(3), waiting_since: START },
+        Case { name: "timer on time", ended_at: until, waiting_since: START },
+        Case { name: "timer resolution", ended_at: until + ms(1), waiting_since: START },
+        Case { name: "short pause", ended_at: until + ms(2), waiting_since: START + ms(2) },
+        Case { name: "long pause", ended_at: until + ms(900), waiting_since: START + ms(900) },
+    ];
+    for case in cases {
+        let found = ConnectionBudget::skip_pause(START, until, case.ended_at);
+        assert_eq!(found, case.waiting_since, "{}", case.name);
+    }
+    let load = ConnectionLoad { usable: 64, ..ConnectionLoad::default() };
+    let resumed_at = until + ms(900);
+    let waiting_since = ConnectionBudget::skip_pause(START, until - ms(1), resumed_at);
+    let decision = ConnectionBudget::default().decide(resumed_at, waiting_since, load);
+    assert_eq!(decision, ConnectionDecision::Wait(resumed_at + ms(1)));
+}
+
 /// An endpoint that answers nothing for three seconds got a connection for every call.
 #[test]
 fn connections_to_a_silent_endpoint_are_opened_less_and_less_often() {
