--- a/crates/daemon/src/convert.rs
+++ b/crates/daemon/src/convert.rs
@@ -8,9 +8,10 @@
 use cowslipwing_proto as proto;
 use cowslipwing_types::{Epoch, Incarnation, JobId, RangeId, TaskId, TaskIndex};
 
-/// Converts range epochs from their messages.
+/// Converts range epochs from their messages. Ranges that do not exist are left out.
 pub(crate) fn range_epochs_from_proto(ranges: &[proto::RangeEpoch]) -> Vec<(RangeId, Epoch)> {
-    ranges.iter().map(|r| (RangeId::new(r.range), Epoch::new(r.epoch))).collect()
+    let claim = |r: &proto::RangeEpoch| Some((RangeId::from_number(r.range)?, Epoch::new(r.epoch)));
+    ranges.iter().filter_map(claim).collect()
 }
 
 /// Converts range epochs to their messages.
@@ -18,9 +19,9 @@
     ranges.iter().map(|(r, e)| proto::RangeEpoch { range: r.get(), epoch: e.get() }).collect()
 }
 
-/// Converts range numbers to range ids.
+/// Converts range numbers to range ids. Ranges that do not exist are left out.
 pub(crate) fn range_ids_from_proto(numbers: &[u32]) -> Vec<RangeId> {
-    numbers.iter().copied().map(RangeId::new).collect()
+    numbers.iter().copied().filter_map(RangeId::from_number).collect()
 }
 
 /// Converts a task id from its message. Returns `None` if the customer or key is invalid.
--- a/crates/fold/src/fold.rs
+++ b/crates/fold/src/fold.rs
@@ -2,8 +2,8 @@
 
 use cowslipwing_proto::{self as proto, record::Body};
 use cowslipwing_types::{
-    BatchName, CustomerName, EndpointName, Epoch, MemberVersion, Offset, RANGES, RangeId, Site,
-    SortedMap, Version,
+    BatchName, CustomerName, EndpointName, Epoch, MemberVersion, Offset, RangeId, Site, SortedMap,
+    Version,
 };
 
 use crate::contract::{Contracts, Terms};
@@ -265,9 +265,12 @@
             return ApplyOutcome::StaleMembers;
         }
         let mut won = Vec::new();
-        for claim in takeover.ranges.iter().filter(|claim| claim.range < RANGES) {
-            let range = RangeId::new(claim.range);
-            if self.range_owners.take_over(range, Epoch::new(claim.epoch), owner.clone()) {
+        for claim in &takeover.ranges {
+            let Some(range) = RangeId::from_number(claim.range) else {
+                continue;
+            };
+            let epoch = Epoch::new(claim.epoch);
+            if !won.contains(&range) && self.range_owners.take_over(range, epoch, owner.clone()) {
                 won.push(range);
             }
         }
--- a/crates/fold/src/snapshot.rs
+++ b/crates/fold/src/snapshot.rs
@@ -67,9 +67,13 @@
             parse_members(&state.previous_members)?,
         );
         for stored in &state.ranges {
+            // A range that does not exist has no jobs.
+            let Some(range) = RangeId::from_number(stored.range) else {
+                continue;
+            };
+            let epoch = Epoch::new(stored.epoch);
             let owner = parse("entry", &stored.owner)?;
-            let ownership = Ownership { epoch: Epoch::new(stored.epoch), owner };
-            fold.range_owners.restore(RangeId::new(stored.range), ownership);
+            fold.range_owners.restore(range, Ownership { epoch, owner });
         }
         Ok(fold)
     }
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -154,13 +154,27 @@
 
     /// Publishes a configuration, a JSON document, as the platform's operators do.
     pub fn publish(&self, config: &str) {
-        /// Key of the record, after its length in bytes.
-        const KEY: &[u8] = b"\x06config";
-        let record = [KEY, config.as_bytes()].concat();
-        self.inner.state().append("keyed.op", record.into());
+        self.append_keyed("keyed.op", "config", config.as_bytes());
+    }
+
+    /// Appends a record to a topic, as another writer does.
+    pub fn append(&self, topic: &str, record: Bytes) {
+        self.inner.state().append(topic, record);
         self.inner.appended.notify_waiters();
     }
 
+    /// Sets the value of a key, of at most 255 bytes, in a topic with keys.
+    pub fn append_keyed(&self, topic: &str, key: &str, value: &[u8]) {
+        let key_len = u8::try_from(key.len()).expect("a key has at most 255 bytes");
+        self.append(topic, [&[key_len], key.as_bytes(), value].concat().into());
+    }
+
+    /// Returns the latest value of a key in a topic with keys.
+    pub fn latest(&self, topic: &str, key: &str) -> Option<Bytes> {
+        let state = self.inner.state();
+        state.topics.get(topic)?.latest.get(key).map(|(_, value)| value.clone())
+    }
+
     /// Deletes the records of all topics except for the latest of each key.
     pub fn drop_history(&self) {
         self.inner.state().truncate(0);
--- a/crates/testkit/tests/testsuite/main.rs
+++ b/crates/testkit/tests/testsuite/main.rs
@@ -5,5 +5,6 @@
 mod contracts;
 mod jobs;
 mod limits;
+mod odd_records;
 mod session;
 mod traces;
--- a/crates/types/src/number.rs
+++ b/crates/types/src/number.rs
@@ -88,6 +88,24 @@
     RangeId,
     u32
 );
+
+impl RangeId {
+    /// Returns the id with a number that another process has written, or `None` if there is no such
+    /// range.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cowslipwing_types::{RANGES, RangeId};
+    ///
+    /// assert_eq!(RangeId::from_number(7), Some(RangeId::new(7)));
+    /// assert_eq!(RangeId::from_number(RANGES), None);
+    /// ```
+    pub const fn from_number(number: u32) -> Option<Self> {
+        if number < RANGES { Some(Self(number)) } else { None }
+    }
+}
+
 number_type!(
     /// The position of a task in its submission, from 0.
     TaskIndex,
