--- a/crates/daemon/src/entry/decision_log.rs
+++ b/crates/daemon/src/entry/decision_log.rs
@@ -53,17 +53,32 @@
         self.store.read_raw(Topic::Decisions, from.get(), Duration::ZERO).await
     }
 
-    /// Reads the newest snapshot. A malformed snapshot is logged and treated as absent.
+    /// Returns whether the log has had all records before an offset.
+    async fn reaches(&self, offset: Offset) -> Result<bool, StoreError> {
+        match self.read(offset).await? {
+            ReadResult::Records { end, .. } => Ok(offset.get() <= end),
+            ReadResult::Truncated => Ok(true),
+        }
+    }
+
+    /// Reads the newest snapshot. A snapshot that is malformed, or newer than the log, is logged and
+    /// treated as absent.
     pub(crate) async fn snapshot(&self) -> Result<Snapshot, StoreError> {
         let (records, topic_end) = self.store.newest(Topic::Snapshots).await?;
         let newest = records.iter().find(|record| record.key == SNAPSHOT_KEY);
-        let fold = newest.and_then(|record| {
+        let mut fold = newest.and_then(|record| {
             let state = FoldState::decode(record.value.clone());
             let state =
                 state.inspect_err(|error| log::warn!("store: the snapshot is malformed: {error}."));
             let fold = Fold::try_from(&state.ok()?);
             fold.inspect_err(|error| log::warn!("store: the snapshot is malformed: {error}.")).ok()
         });
+        if let Some(next) = fold.as_ref().map(Fold::next_offset)
+            && !self.reaches(next).await?
+        {
+            log::warn!("store: the snapshot is malformed: its offset {next} lies beyond the log.");
+            fold = None;
+        }
         Ok(Snapshot { fold, topic_end })
     }
 
--- a/crates/fold/src/snapshot.rs
+++ b/crates/fold/src/snapshot.rs
@@ -1,23 +1,23 @@
 //! Converts a [`Fold`] to a snapshot message and back.
 
-use compact_str::CompactString;
+use compact_str::{CompactString, ToCompactString};
 use cowslipwing_proto as proto;
 use cowslipwing_types::{Epoch, MemberVersion, Offset, RangeId, Version};
-use snafu::Snafu;
+use snafu::{Snafu, ensure};
 
 use crate::contract::{ActiveContract, Terms};
 use crate::fold::Fold;
 use crate::members::{MemberSet, Membership};
 use crate::ranges::Ownership;
 
-/// An error in a snapshot: a name or a contract in it is invalid.
+/// An error in a snapshot: a name, a number or a contract in it is invalid.
 #[derive(Clone, Debug, PartialEq, Snafu)]
 #[snafu(display(
     "invalid {field} {name:?} in the snapshot; use the log or a peer's snapshot instead"
 ))]
 pub struct SnapshotError {
     field: &'static str,
-    /// The invalid name; for a contract, the name of its customer.
+    /// The invalid name or number; for a contract, the name of its customer.
     name: CompactString,
 }
 
@@ -28,6 +28,17 @@
     name.parse().map_err(|_| SnapshotSnafu { field, name }.build())
 }
 
+/// Checks a number of changes. Each record makes at most one, so that there are at most as many as
+/// records before the snapshot's next offset.
+fn check_count(
+    field: &'static str,
+    count: u64,
+    state: &proto::FoldState,
+) -> Result<u64, SnapshotError> {
+    ensure!(count <= state.next_offset, SnapshotSnafu { field, name: count.to_compact_string() });
+    Ok(count)
+}
+
 fn parse_members(members: &[proto::Member]) -> Result<MemberSet, SnapshotError> {
     let mut set = MemberSet::default();
     for member in members {
@@ -45,7 +56,7 @@
             let contract = stored.contract.clone().unwrap_or_default();
             let terms = Terms::try_from(&contract)
                 .map_err(|_| SnapshotSnafu { field: "contract", name: &stored.customer }.build())?;
-            let version = Version::new(stored.version);
+            let version = Version::new(check_count("version", stored.version, state)?);
             let append_id = parse("append", &stored.append_id)?;
             let active = ActiveContract { version, contract, terms, append_id };
             fold.contracts.restore(parse("customer", &stored.customer)?, active);
@@ -61,7 +72,7 @@
             fold.withdrawn_batches.push((customer, parse("batch", &batch.batch)?));
         }
         fold.membership = Membership::restore(
-            MemberVersion::new(state.member_version),
+            MemberVersion::new(check_count("version", state.member_version, state)?),
             state.member_settled,
             parse_members(&state.members)?,
             parse_members(&state.previous_members)?,
@@ -71,7 +82,7 @@
             let Some(range) = RangeId::from_number(stored.range) else {
                 continue;
             };
-            let epoch = Epoch::new(stored.epoch);
+            let epoch = Epoch::new(check_count("epoch", stored.epoch, state)?);
             let owner = parse("entry", &stored.owner)?;
             fold.range_owners.restore(range, Ownership { epoch, owner });
         }
--- a/crates/fold/tests/odd_numbers.rs
+++ b/crates/fold/tests/odd_numbers.rs
@@ -35,6 +35,32 @@
     }
 }
 
+#[test]
+fn a_snapshot_has_no_more_changes_than_records() {
+    struct Case {
+        name: &'static str,
+        odd: FoldState,
+        is_valid: bool,
+    }
+    let usual = snapshot();
+    let in_force = |version| ContractInForce { version, ..usual.contracts[0].clone() };
+    let with_contract = |version| FoldState { contracts: vec![in_force(version)], ..usual.clone() };
+    let with_range = |epoch| FoldState { ranges: vec![owner(7, epoch)], ..usual.clone() };
+    let with_members = |member_version| FoldState { member_version, ..usual.clone() };
+    let cases = [
+        Case { name: "usual", odd: usual.clone(), is_valid: true },
+        Case { name: "contract", odd: with_contract(6), is_valid: false },
+        Case { name: "contract, largest", odd: with_contract(u64::MAX), is_valid: false },
+        Case { name: "range", odd: with_range(6), is_valid: false },
+        Case { name: "range, largest", odd: with_range(u64::MAX), is_valid: false },
+        Case { name: "members", odd: with_members(6), is_valid: false },
+        Case { name: "members, largest", odd: with_members(u64::MAX), is_valid: false },
+    ];
+    for case in cases {
+        assert_eq!(Fold::try_from(&case.odd).is_ok(), case.is_valid, "{}", case.name);
+    }
+}
+
 #[test]
 fn a_range_that_does_not_exist_is_left_out_of_a_snapshot() {
     for range in [RANGES, u32::MAX] {
--- a/crates/testkit/tests/testsuite/odd_records.rs
+++ b/crates/testkit/tests/testsuite/odd_records.rs
@@ -8,9 +8,9 @@
     record::Body,
 };
 use cowslipwing_testkit::{Caller, Cluster, Reply};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
-use crate::session::job;
+use crate::session::{Session, job};
 
 const LOG: &str = "decisions";
 const SNAPSHOTS: &str = "keyed.snapshots";
@@ -113,3 +113,22 @@
     assert!(!cluster.daemon_process("a").unwrap().has_exited());
     assert_served(&cluster, "a", "shop").await;
 }
+
+/// An entry that loaded a snapshot that claims to be newer than the log followed the log no longer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_snapshot_beyond_the_log_is_ignored() {
+    let mut cluster = Session::start().await.with_contract("shop").await.cluster;
+    let snapshot = FoldState { next_offset: u64::MAX, ..FoldState::default() }.encode_to_vec();
+    cluster.store().append_keyed(SNAPSHOTS, SNAPSHOT_KEY, &snapshot);
+    cluster.store().drop_history();
+    cluster.start_entry("b").await.unwrap();
+    assert!(cluster.wait_ready(1, READY_LIMIT).await, "{}", cluster.logs());
+    assert_served(&cluster, "b", "shop").await;
+    let is_replaced = || cluster.store().latest(SNAPSHOTS, SNAPSHOT_KEY).unwrap() != snapshot;
+    let replaced = async {
+        while !is_replaced() {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    assert!(timeout(READY_LIMIT, replaced).await.is_ok(), "{}", cluster.logs());
+}
