Bound a lease by the present in the executor

It is in Executor::on_entry_heartbeat now, which takes the present time. a_lease_does_not_count_from_the_future fails without the bound: an order under a lease that has expired is started. Behaviour is unchanged.

--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -218,9 +218,10 @@
         self.actions.push(ExecutorAction::NotifyEntry(held.entry, TaskEvent { run, status }));
     }
 
-    /// Extends the lease of an entry, which last received a message of this agent at `heard_at`.
-    pub fn on_entry_heartbeat(&mut self, entry: &EntryId, heard_at: Duration) {
-        let expires_at = heard_at + self.settings.entry_lease;
+    /// Extends the lease of an entry, which last received a message of this agent at `heard_at`. A
+    /// time in the future is taken as `now`.
+    pub fn on_entry_heartbeat(&mut self, now: Duration, entry: &EntryId, heard_at: Duration) {
+        let expires_at = heard_at.min(now) + self.settings.entry_lease;
         let lease = self.entry_leases.get_or_insert_with(entry.clone(), || expires_at);
         *lease = expires_at.max(*lease);
     }
--- a/crates/dispatch/tests/testsuite/evacuation/agent.rs
+++ b/crates/dispatch/tests/testsuite/evacuation/agent.rs
@@ -63,7 +63,7 @@
         executor.set_evacuated(START, false);
         let now = START + ms(case.age_ms);
         executor.on_listing(now, &listing(now));
-        executor.on_entry_heartbeat(&entry(), now);
+        executor.on_entry_heartbeat(now, &entry(), now);
         assert!(executor.status(now).usable, "{}", case.name);
         for index in 0..10 {
             executor.on_order(now, order(index, 500, ms(500)));
--- a/crates/dispatch/tests/testsuite/evacuation/spread.rs
+++ b/crates/dispatch/tests/testsuite/evacuation/spread.rs
@@ -191,7 +191,7 @@
         let (to_agent, to_entry) = std::mem::take(&mut link.in_flight);
         host.evacuations.merge(to_agent);
         host.executor.set_evacuated(now, host.evacuations.is_active(site_of(link.agent)));
-        host.executor.on_entry_heartbeat(&entry_id(link.entry), now);
+        host.executor.on_entry_heartbeat(now, &entry_id(link.entry), now);
         if !to_entry.is_empty() {
             entry.merge(now, to_entry);
         }
--- a/crates/dispatch/tests/testsuite/executor.rs
+++ b/crates/dispatch/tests/testsuite/executor.rs
@@ -74,7 +74,7 @@
     let mut executor = Executor::new(SETTINGS);
     executor.on_report(START, report(1));
     executor.on_listing(START, &listing(START));
-    executor.on_entry_heartbeat(&entry(), START);
+    executor.on_entry_heartbeat(START, &entry(), START);
     executor.take_actions();
     executor
 }
--- a/crates/dispatch/tests/testsuite/executor/incarnations.rs
+++ b/crates/dispatch/tests/testsuite/executor/incarnations.rs
@@ -172,7 +172,7 @@
 fn a_remembered_endpoint_that_has_left_gets_no_task() {
     let mut executor = Executor::new(SETTINGS);
     executor.on_report(START, report(1));
-    executor.on_entry_heartbeat(&super::entry(), START);
+    executor.on_entry_heartbeat(START, &super::entry(), START);
     executor.on_listing(START, &Listing { incarnation: 8, ..listing(START) });
     executor.on_order(START, order(0, 1000, ms(500)));
     assert!(!executor.status(START).usable);
@@ -279,7 +279,7 @@
     executor.take_actions();
     let mut other = order(0, 1000, ms(500));
     other.entry = "front-2@1".parse().unwrap();
-    executor.on_entry_heartbeat(&other.entry, at);
+    executor.on_entry_heartbeat(at, &other.entry, at);
     executor.on_order(at, other);
     executor.on_order(at, order(1, 1000, ms(500)));
     let actions = executor.take_actions();
@@ -356,7 +356,7 @@
     for is_saved_first in [false, true] {
         let mut executor = Executor::new(SETTINGS);
         executor.on_listing(START, &listing(START));
-        executor.on_entry_heartbeat(&super::entry(), START);
+        executor.on_entry_heartbeat(START, &super::entry(), START);
         executor.on_order(START, order(0, 1000, ms(500)));
         assert!(starts(&executor.take_actions()).is_empty(), "no capacity is known");
         let told = remembered.get("side-1").unwrap().clone();
--- a/crates/dispatch/tests/testsuite/executor/leases.rs
+++ b/crates/dispatch/tests/testsuite/executor/leases.rs
@@ -1,5 +1,7 @@
 //! Tests of the leases of entries and of the endpoint.
 
+use std::time::Duration;
+
 use cowslipwing_dispatch::{ExecutorAction, Listing, RunStatus, StartOutcome, TaskProgress};
 
 use super::{START, entry, executor, listing, order, reported, run, starts};
@@ -27,6 +29,19 @@
     assert_eq!(reported(&actions), [(run(1), RunStatus::NotStarted)]);
 }
 
+/// An entry that returned a time in the future kept its lease until then.
+#[test]
+fn a_lease_does_not_count_from_the_future() {
+    for heard_at in [START + ms(5000), Duration::from_millis(u64::MAX)] {
+        let mut executor = executor();
+        executor.on_entry_heartbeat(START, &entry(), heard_at);
+        let at = START + ms(700);
+        executor.on_listing(at, &listing(at));
+        executor.on_order(at, order(0, 1000, ms(500)));
+        assert_eq!(reported(&executor.take_actions()), [(run(0), RunStatus::NotStarted)]);
+    }
+}
+
 /// A VM that was suspended may receive an order before its first tick.
 #[test]
 fn an_order_under_an_expired_lease_is_returned() {
@@ -45,7 +60,7 @@
     executor.on_order(START, order(0, 1000, ms(500)));
     executor.take_actions();
     executor.on_start_reply(START, &run(0), StartOutcome::Started);
-    executor.on_entry_heartbeat(&entry(), START + ms(5000));
+    executor.on_entry_heartbeat(START + ms(5000), &entry(), START + ms(5000));
     executor.on_tick(START + ms(505));
     assert!(reported(&executor.take_actions()).is_empty());
     // The endpoint's clock may run 2% slow.
--- a/crates/dispatch/tests/testsuite/executor/progress.rs
+++ b/crates/dispatch/tests/testsuite/executor/progress.rs
@@ -67,7 +67,7 @@
         let percent = (elapsed_ms * 100 / 1385) as u32;
         let running = vec![TaskProgress { run: run(0), percent }];
         executor.extend_lease(at);
-        executor.on_entry_heartbeat(&entry(), at);
+        executor.on_entry_heartbeat(at, &entry(), at);
         executor.on_listing(at, &Listing { running, ..listing(at) });
         let reported = reported(&executor.take_actions());
         assert!(reported.is_empty(), "at {elapsed_ms} ms: {reported:?}");
@@ -167,7 +167,7 @@
         .collect();
     running.push(TaskProgress { run: run(9), percent });
     executor.extend_lease(at);
-    executor.on_entry_heartbeat(&entry(), at);
+    executor.on_entry_heartbeat(at, &entry(), at);
     executor.on_listing(at, &Listing { running, ..listing(at) });
     let of_task = |(found, status): (TaskRun, RunStatus)| (found == run(9)).then_some(status);
     reported(&executor.take_actions()).into_iter().filter_map(of_task).collect()
--- a/crates/dispatch/tests/testsuite/executor/queue_order.rs
+++ b/crates/dispatch/tests/testsuite/executor/queue_order.rs
@@ -82,7 +82,7 @@
     let (mut running, mut started_at) = (0, None);
     for sequence in 1..=8 {
         let now = START + ms(50 * sequence);
-        executor.on_entry_heartbeat(&super::entry(), now);
+        executor.on_entry_heartbeat(now, &super::entry(), now);
         let index = u32::try_from(sequence).unwrap() + 1;
         submit(&mut executor, now, index, (0, ms(90)));
         running = next_start(&mut executor, now, running, sequence);
--- a/crates/dispatch/tests/testsuite/fleet.rs
+++ b/crates/dispatch/tests/testsuite/fleet.rs
@@ -235,7 +235,7 @@
         let now = self.now;
         for host in &mut self.hosts {
             for number in 0..self.schedulers.len() {
-                host.executor.on_entry_heartbeat(&entry(number), now);
+                host.executor.on_entry_heartbeat(now, &entry(number), now);
             }
             host.advance(now);
             host.executor.on_tick(now);
--- a/crates/dispatch/tests/testsuite/simulation.rs
+++ b/crates/dispatch/tests/testsuite/simulation.rs
@@ -371,7 +371,7 @@
             if kind < 240 {
                 // The entry is in contact most of the time.
                 let heard_at = simulation.now.saturating_sub(ms(20));
-                simulation.executor.on_entry_heartbeat(&entry(), heard_at);
+                simulation.executor.on_entry_heartbeat(simulation.now, &entry(), heard_at);
             }
             simulation.execute_actions(random);
             simulation.check()?;
@@ -401,7 +401,7 @@
             }
             if kind < 240 {
                 let heard_at = simulation.now.saturating_sub(ms(20));
-                simulation.executor.on_entry_heartbeat(&entry(), heard_at);
+                simulation.executor.on_entry_heartbeat(simulation.now, &entry(), heard_at);
             }
             simulation.execute_actions(byte());
             simulation.check().unwrap_or_else(|error| panic!("seed {seed}: {error}"));
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -411,9 +411,8 @@
     fn on_frame(&mut self, now: Duration, entry: &EntryId, frame: EntryFrame) {
         self.learn_evacuations(now, entry, &frame.evacuations);
         if frame.heard_ms > 0 {
-            // A time in the future would keep the lease of an entry that is gone.
-            let heard_at = Duration::from_millis(frame.heard_ms).min(now);
-            self.executor.on_entry_heartbeat(entry, heard_at);
+            let heard_at = Duration::from_millis(frame.heard_ms);
+            self.executor.on_entry_heartbeat(now, entry, heard_at);
         }
         if !frame.entries.is_empty() {
             self.members.add(parse_addresses(&frame.entries));
