--- a/crates/daemon/src/entry/decision_log.rs
+++ b/crates/daemon/src/entry/decision_log.rs
@@ -61,8 +61,8 @@
         }
     }
 
-    /// Reads the newest snapshot. A snapshot that is malformed, or newer than the log, is logged and
-    /// treated as absent.
+    /// Reads the newest snapshot. A snapshot that is malformed, or newer than the log, is logged
+    /// and treated as absent.
     pub(crate) async fn snapshot(&self) -> Result<Snapshot, StoreError> {
         let (records, topic_end) = self.store.newest(Topic::Snapshots).await?;
         let newest = records.iter().find(|record| record.key == SNAPSHOT_KEY);
--- a/crates/daemon/src/entry/transfer.rs
+++ b/crates/daemon/src/entry/transfer.rs
@@ -101,8 +101,9 @@
 
 /// Stores a transfer until this entry becomes the owner of its ranges, or discards a revoked one.
 ///
-/// Returns whether the transfer is stored, which it is not if it was revoked before it arrived, if it
-/// names a range that does not exist, or if this entry is stopping. For a revocation, returns `false` if the log has already brought a range to the transfer's epoch.
+/// Returns whether the transfer is stored, which it is not if it was revoked before it arrived, if
+/// it names a range that does not exist, or if this entry is stopping. For a revocation, returns
+/// `false` if the log has already brought a range to the transfer's epoch.
 pub(crate) fn accept(shared: &Shared, transfer: Transfer) -> bool {
     if transfer.ranges.iter().any(|range| RangeId::from_number(range.range).is_none()) {
         return false;
--- a/crates/dispatch/src/connection_budget.rs
+++ b/crates/dispatch/src/connection_budget.rs
@@ -20,8 +20,8 @@
 /// Maximum time for which a call waits for a connection. Shorter than the 10 ms after which the
 /// executor sends a start again, so that a start that was not sent is known as not started.
 const MAX_WAIT: Duration = Duration::from_millis(8);
-/// Delay of a timer above which the process is taken to have been paused. Timers have a resolution of
-/// a millisecond.
+/// Delay of a timer from which on the process is taken to have been paused. Timers have a resolution
+/// of a millisecond.
 const MIN_PAUSE: Duration = Duration::from_millis(2);
 /// Number of connections that may be opened without a delay after an answer. A set of tasks opens
 /// several before the first is answered.
