--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -254,7 +254,7 @@
         spec.labels.0 = "b".to_owned();
     }
     let first = specs[0].clone();
-    let deployment = Deployment::start(recorder.clone(), 2, specs, &config(1.6, 4000))?;
+    let deployment = Deployment::start(recorder.clone(), 2, specs, &config(1.6, 60))?;
     let steps = "[{\"count\":1,\"cpu\":5000,\"memoryLimitMb\":64,\"estimatedRuntimeMs\":2000,\
                  \"requiredLabels\":\"a\"}]";
     let mut sent = Vec::new();
@@ -266,7 +266,7 @@
     if with_trouble {
         let minion = &deployment.agents[0].minion;
         minion.crash_dark();
-        thread::sleep(Duration::from_millis(1500));
+        thread::sleep(Duration::from_millis(500));
         let mut next = first;
         next.labels.0 = "b".to_owned();
         minion.come_back(next);
