Log frames to agents that have no open stream

When a job ends while the stream of an agent is broken, the cancellations are dropped without a trace, and so are those that are written to a stream that has ended.

The entry now logs event=frame-not-sent with the numbers of orders and cancellations, and counts frame_not_sent. No decision changes.

--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -191,14 +191,22 @@
         }
         let streams = self.streams();
         for (agent, frame) in frames.iter() {
-            if let Some(stream) = streams.get(agent) {
+            let is_sent = streams.get(agent).is_some_and(|stream| {
                 let mut frame = EntryFrame { heard_ms: stream.heard_ms, ..frame.clone() };
                 if stream.accepts_same_work {
                     share_payloads(&mut frame.orders);
                 }
-                // If the stream has ended, the scheduler handles the lost frame when the agent
-                // reconnects or is considered lost.
-                let _ = stream.tx.send(frame);
+                stream.tx.send(frame).is_ok()
+            });
+            if !is_sent {
+                // The scheduler handles the lost frame when the agent attaches again or is
+                // considered lost.
+                self.metrics.count("frame_not_sent");
+                log::info!(
+                    "entry: event=frame-not-sent agent={agent} orders={} cancels={}",
+                    frame.orders.len(),
+                    frame.cancels.len()
+                );
             }
         }
     }
