Cancel runs that no job needs when their agent attaches again

The caller sent the job again to another entry after 1.3 s, and the first run went on for 1.5 s beside the second.

Cause: a cancellation is a single message without a reply, and the entry forgets the job with it. On attachment the entry looked only for runs that it had sent and the agent did not hold. Runs that the agent held and the entry had given up were left alone, and the heartbeats of the new stream renewed their lease.

The entry logs caller-left and attached held=1; the agent logs no cancelled. Ruled out: that the entry does not notice the caller, and that the agent cannot stop the run.

The entry now cancels each run that the agent holds and no open job needs, also one whose job stays open and whose cancellation was sent before. This works because the list of the agent is complete: frames of the earlier stream no longer count once it is made. An agent that does not attach again stops the runs when its lease ends, 600 ms after the last contact.

--- a/crates/dispatch/src/scheduler/agents.rs
+++ b/crates/dispatch/src/scheduler/agents.rs
@@ -6,16 +6,27 @@
 use crate::placement::EndpointStatus;
 
 use super::endpoint::Endpoint;
-use super::{RunStatus, Scheduler, TaskEvent, evacuation};
+use super::task::TaskState;
+use super::{Action, Decision, RunStatus, Scheduler, TaskEvent, evacuation};
 
 impl Scheduler {
     /// Handles an agent that has connected and holds the runs `held` of this entry.
     ///
-    /// Runs that were sent to the agent and that it does not hold were never received.
+    /// Runs that were sent to the agent and that it does not hold were never received. Runs that it
+    /// holds and that no open job needs are cancelled, because an earlier cancellation may have been
+    /// lost with the previous stream.
     pub fn on_attached(&mut self, now: Duration, agent: &AgentId, held: &[TaskRun]) {
         let settings = self.settings;
         self.warm_up.on_attached(now);
         self.endpoints.get_or_insert_with(agent.clone(), || Endpoint::new(now)).on_attached(now);
+        let unneeded: Vec<&TaskRun> =
+            held.iter().filter(|run| !self.is_needed(agent, run)).collect();
+        for run in unneeded {
+            let (agent, run) = (agent.clone(), run.clone());
+            let decision = Decision::HeldRunCancelled { run: run.clone(), agent: agent.clone() };
+            self.actions.push(Action::Record(decision));
+            self.actions.push(Action::Cancel(agent, run));
+        }
         let unreceived = self.runs_sent_to(agent, |run| !held.contains(run));
         for run in unreceived {
             self.on_task_event(now, agent, &TaskEvent { run, status: RunStatus::Stopped });
@@ -24,6 +35,14 @@
         self.endpoints.retain(|_, endpoint| !endpoint.is_removable(now, settings.lease_bound()));
     }
 
+    /// Returns whether an open job has sent a run to an agent and has not cancelled it.
+    fn is_needed(&self, agent: &AgentId, run: &TaskRun) -> bool {
+        self.find_sent(&run.task, agent, run.number).is_some_and(|index| {
+            let state = self.jobs.get(&run.task.request).map(|job| &job.tasks[index].state);
+            matches!(state, Some(TaskState::Sent { cancelled: false, .. }))
+        })
+    }
+
     /// Returns whether a run that was sent to an agent is not known to have ended.
     pub fn has_runs_at(&self, agent: &AgentId) -> bool {
         let mut tasks = self.jobs.values().flat_map(|job| &job.tasks);
--- a/crates/dispatch/src/scheduler/decision.rs
+++ b/crates/dispatch/src/scheduler/decision.rs
@@ -96,6 +96,13 @@
         /// Status of the run.
         status: RunStatus,
     },
+    /// An agent that has attached again holds a run that no open job needs, so the run is cancelled.
+    HeldRunCancelled {
+        /// The run that is cancelled.
+        run: TaskRun,
+        /// Agent that holds it.
+        agent: AgentId,
+    },
     /// A slow task is stopped so that it can run elsewhere.
     Moved {
         /// The run that is stopped.
@@ -258,6 +265,9 @@
             Self::Returned { run, agent, status } => {
                 write!(f, "event=back task={run} agent={agent} fate={status:?}")
             }
+            Self::HeldRunCancelled { run, agent } => {
+                write!(f, "event=held-run-cancelled task={run} agent={agent}")
+            }
             Self::Moved { run, agent, remaining_here, time_elsewhere } => write!(
                 f,
                 "event=moved task={run} agent={agent} here_ms={} there_ms={}",
--- a/crates/dispatch/src/scheduler/events.rs
+++ b/crates/dispatch/src/scheduler/events.rs
@@ -55,7 +55,13 @@
         self.settle_withdrawal(now, &name.request);
     }
 
-    fn find_sent(&self, name: &TaskName, agent: &AgentId, run_number: u32) -> Option<usize> {
+    /// Returns the index of a task if `agent` has its latest run and that run has this number.
+    pub(super) fn find_sent(
+        &self,
+        name: &TaskName,
+        agent: &AgentId,
+        run_number: u32,
+    ) -> Option<usize> {
         let job = self.jobs.get(&name.request)?;
         let index = job.index_of(name)?;
         let task = &job.tasks[index];
--- a/crates/dispatch/tests/testsuite/main.rs
+++ b/crates/dispatch/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod locality;
 mod overload;
 mod placement;
+mod reattach;
 mod reply_tracker;
 mod scheduler;
 mod simulation;
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -219,6 +219,7 @@
             Decision::Withdrawn { not_started: false, .. } => "withdrawal_given_up",
             Decision::Sent { .. } => "task_sent",
             Decision::Returned { .. } => "task_back",
+            Decision::HeldRunCancelled { .. } => "held_run_cancelled",
             Decision::Moved { .. } => "task_moved",
             Decision::Overrun { .. } => "task_overrun",
             Decision::CrashLimitReached { .. } => "crash_limit_reached",
