Send the ends of runs again that were lost with a stream

Callers saw no rule broken, but a task that was done could run again. A frame that was written to a stream which then broke was taken as received. On the next stream the agent no longer held the run, so the entry took it for one that had never been received and started the task again.

The agent now keeps the events that end runs until the entry has returned a later time of the agent in a heartbeat, and sends the others again in the first frame of the next stream. An entry ignores events of runs that it does not wait for, so that an event may arrive twice. A stream to an entry that is no longer selected is closed only once its events have been received. Reports on the progress of runs are not repeated.

The test of the outbox fails if events that were sent are not kept, as before: only event 3 of 4 is sent again.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -24,6 +24,7 @@
 mod executor;
 mod id;
 mod job;
+mod outbox;
 mod placement;
 mod predictor;
 mod priority;
@@ -49,6 +50,7 @@
 pub use job::{
     Answer, ContractTerms, GiveUpReason, JobSpec, RefusalReason, StepSpec, TimeoutSource,
 };
+pub use outbox::Outbox;
 pub use placement::{
     Candidate, DEFAULT_REMOTE_RUN_TIME_RATIO, EndpointStatus, Forecast, PlacementRequest,
     QueuedCpu, exceedance_probability,
--- a/crates/dispatch/tests/testsuite/main.rs
+++ b/crates/dispatch/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod executor;
 mod fleet;
 mod locality;
+mod outbox;
 mod overload;
 mod placement;
 mod reattach;
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -10,8 +10,8 @@
 use compact_str::CompactString;
 use cowslipwing_dispatch::{
     AgentId, CrashRecord, EndpointActivity, EndpointReport, EntryId, EvacuationFeed, Evacuations,
-    Executor, ExecutorAction, ExecutorSettings, Listing, ReceivedOrder, RunStatus, StartOutcome,
-    TaskEvent, TaskRun,
+    Executor, ExecutorAction, ExecutorSettings, Listing, Outbox, ReceivedOrder, RunStatus,
+    StartOutcome, TaskEvent, TaskRun,
 };
 use cowslipwing_platform::EndpointError;
 use cowslipwing_proto::{self as proto, AgentFrame, AgentHello, EntryFrame};
@@ -29,11 +29,10 @@
 use crate::metrics::Metrics;
 use crate::wire_ids::{run_from_proto, run_to_proto};
 use crate::{ENDPOINT_LEASE, ENTRY_LEASE};
+use frames::frame_time;
 
 /// Interval at which queued tasks and leases are checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
-/// Maximum number of task events kept for an entry without a stream.
-const MAX_UNSENT_EVENTS: usize = 1024;
 
 /// An input of the event loop.
 pub(super) enum Event {
@@ -102,8 +101,6 @@
     tx: mpsc::UnboundedSender<AgentFrame>,
     /// Number of orders received on this stream, which the status reports to the entry.
     orders_seen: u64,
-    /// Task events that have not been sent yet.
-    events: Vec<proto::TaskEvent>,
     /// Crash records that have not been sent yet.
     crashes: Vec<proto::CrashRecord>,
     /// Report of the endpoint, if it has changed since it was last sent.
@@ -143,8 +140,8 @@
     evacuations: Evacuations,
     /// Streams to entries. A stream that has ended stays here with a closed sender.
     streams: SortedMap<EntryId, EntryStream>,
-    /// Task events for entries without an open stream.
-    unsent_events: SortedMap<EntryId, Vec<proto::TaskEvent>>,
+    /// Task events for each entry, with or without an open stream.
+    outboxes: SortedMap<EntryId, Outbox>,
     /// Whether a list request has been sent and the next one is not due yet.
     listing_in_flight: bool,
     /// Whether the endpoint answered the last list request.
@@ -180,7 +177,7 @@
             site,
             evacuations: Evacuations::default(),
             streams: SortedMap::new(),
-            unsent_events: SortedMap::new(),
+            outboxes: SortedMap::new(),
             listing_in_flight: false,
             is_reachable: false,
             is_stopping: false,
@@ -346,11 +343,13 @@
             held: self.executor.held_for(&entry).iter().map(run_to_proto).collect(),
             accepts_same_work: true,
         };
+        let outbox = self.outboxes.get_or_insert_with(entry.clone(), Outbox::default);
+        let events = outbox.take_pending(frame_time(now));
         let frame = AgentFrame {
             hello: Some(hello),
             clock_ms: millis(now),
             status: Some(status_to_proto(&self.executor.status(now))),
-            events: self.unsent_events.remove(&entry).unwrap_or_default(),
+            events: events.iter().map(event_to_proto).collect(),
             crashes: crashes_to_proto(now, self.executor.crash_log()),
             report: self.executor.endpoint().map(report_to_proto),
             evacuations: announced.iter().map(evacuation_to_proto).collect(),
@@ -361,7 +360,6 @@
             address,
             tx,
             orders_seen: 0,
-            events: Vec::new(),
             crashes: Vec::new(),
             report: None,
             sent_at: now,
@@ -388,7 +386,7 @@
         for other in previous {
             log::info!("agent: event=entry-replaced former={other} entry={entry}");
             self.streams.remove(&other);
-            self.unsent_events.remove(&other);
+            self.outboxes.remove(&other);
             self.executor.on_entry_lost(now, &other);
         }
     }
@@ -398,14 +396,15 @@
         let Some(stream) = stream.filter(|stream| stream.tx.same_channel(tx)) else {
             return;
         };
-        let events = std::mem::take(&mut stream.events);
+        if let Some(outbox) = self.outboxes.get_mut(entry) {
+            outbox.on_stream_closed();
+        }
         if stream.retiring_since.is_some() && !self.executor.holds_tasks_of(entry) {
             self.streams.remove(entry);
             return;
         }
         let (closed, _) = mpsc::unbounded_channel();
         stream.tx = closed;
-        self.unsent_events.insert(entry.clone(), events);
     }
 
     fn on_frame(&mut self, now: Duration, entry: &EntryId, frame: EntryFrame) {
@@ -413,6 +412,9 @@
         if frame.heard_ms > 0 {
             let heard_at = Duration::from_millis(frame.heard_ms);
             self.executor.on_entry_heartbeat(now, entry, heard_at);
+            if let Some(outbox) = self.outboxes.get_mut(entry) {
+                outbox.on_heard(heard_at);
+            }
         }
         if !frame.entries.is_empty() {
             self.members.add(parse_addresses(&frame.entries));
@@ -511,16 +513,7 @@
                 log::info!("agent: event=task task={} entry={entry} fate={status:?}", event.run);
             }
         }
-        let event = event_to_proto(event);
-        match self.streams.get_mut(entry) {
-            Some(stream) if !stream.tx.is_closed() => stream.events.push(event),
-            _ => {
-                let pending = self.unsent_events.get_or_insert_with(entry.clone(), Vec::new);
-                if pending.len() < MAX_UNSENT_EVENTS {
-                    pending.push(event);
-                }
-            }
-        }
+        self.outboxes.get_or_insert_with(entry.clone(), Outbox::default).push(event.clone());
     }
 
     /// Sends the next list request unless one is in flight.
--- a/crates/node/src/agent/actor/frames.rs
+++ b/crates/node/src/agent/actor/frames.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use cowslipwing_dispatch::Outbox;
 use cowslipwing_proto::{self as proto, AgentFrame};
 
 use super::Actor;
-use crate::convert::{evacuation_to_proto, millis, status_to_proto};
+use crate::convert::{evacuation_to_proto, event_to_proto, millis, status_to_proto};
 use crate::{HEARTBEAT_INTERVAL, HEARTBEAT_INTERVAL_PER_STREAM};
 
 /// Minimum interval between status updates without task events, for each open stream. Entries see
@@ -18,6 +19,11 @@
 /// before the entry learned of it arrive.
 const STREAM_RETIREMENT_DELAY: Duration = Duration::from_secs(1);
 
+/// Returns the time that a frame states, which the entry returns in its heartbeats.
+pub(super) fn frame_time(now: Duration) -> Duration {
+    Duration::from_millis(millis(now))
+}
+
 impl Actor {
     /// Sends task events and changed evacuations at once, and status updates and heartbeats at intervals.
     pub(super) fn send_frames(&mut self) {
@@ -26,13 +32,14 @@
         let intervals = FrameIntervals::new(open_streams);
         let mut status = None;
         for (entry, stream) in self.streams.iter_mut() {
+            let outbox = self.outboxes.get_or_insert_with(entry.clone(), Outbox::default);
             let age = now.saturating_sub(stream.sent_at);
             let heartbeat_interval = if self.executor.holds_tasks_of(entry) {
                 intervals.busy_heartbeat
             } else {
                 IDLE_HEARTBEAT_INTERVAL
             };
-            let is_due = !stream.events.is_empty()
+            let is_due = outbox.has_pending()
                 || stream.evacuation_feed.is_due(&self.evacuations)
                 || age >= heartbeat_interval
                 || (stream.status_changed && age >= intervals.status);
@@ -49,7 +56,7 @@
                     usable: status.usable && stream.retiring_since.is_none(),
                     ..status.clone()
                 }),
-                events: std::mem::take(&mut stream.events),
+                events: outbox.take_pending(frame_time(now)).iter().map(event_to_proto).collect(),
                 crashes: std::mem::take(&mut stream.crashes),
                 report: std::mem::take(&mut stream.report),
                 evacuations: announced.iter().map(evacuation_to_proto).collect(),
@@ -62,12 +69,14 @@
         self.close_retired_streams(now);
     }
 
-    /// Closes the streams to entries that are no longer selected and have no task here.
+    /// Closes the streams to entries that are no longer selected, have no task here and have received
+    /// all events.
     fn close_retired_streams(&self, now: Duration) {
         for (entry, stream) in self.streams.iter() {
             let is_over =
                 stream.retiring_since.is_some_and(|since| now >= since + STREAM_RETIREMENT_DELAY);
-            if is_over && stream.events.is_empty() && !self.executor.holds_tasks_of(entry) {
+            let is_received = self.outboxes.get(entry).is_none_or(Outbox::is_empty);
+            if is_over && is_received && !self.executor.holds_tasks_of(entry) {
                 stream.close.notify_one();
             }
         }
