Send no task to an agent before its runs are compared

An agent may open a stream before the entry has noticed the end of the previous one. The events in the first frame were handled while the agent still counted as usable, so that a returned task could be sent to it again. The comparison of the runs held, which follows, took that run for one that had not been received, and the task was sent a second time. Both orders then arrived: two runs of one task if the second one went to another agent.

The agent now counts as detached until the runs are compared, and the stream is registered under the lock of the scheduler, so that nothing else can send an order on it. The end of a stream is handled under the same lock.

The test fails if the agent is not detached first: an order is sent before the comparison.

--- a/crates/dispatch/src/scheduler/agents.rs
+++ b/crates/dispatch/src/scheduler/agents.rs
@@ -10,6 +10,25 @@
 use super::{Action, Decision, RunStatus, Scheduler, TaskEvent, evacuation};
 
 impl Scheduler {
+    /// Handles the first frame of an agent's stream, with the `events` that it could not send before
+    /// and the runs `held` of this entry.
+    ///
+    /// The end of the previous stream may not have been noticed yet. No task is sent to the agent
+    /// before the runs are compared, since it could not be among those held.
+    pub fn on_hello(
+        &mut self,
+        now: Duration,
+        agent: &AgentId,
+        events: &[TaskEvent],
+        held: &[TaskRun],
+    ) {
+        self.on_detached(now, agent);
+        for event in events {
+            self.on_task_event(now, agent, event);
+        }
+        self.on_attached(now, agent, held);
+    }
+
     /// Handles an agent that has connected and holds the runs `held` of this entry.
     ///
     /// Runs that were sent to the agent and that it does not hold were never received. Runs that it
--- a/crates/dispatch/tests/testsuite/reattach.rs
+++ b/crates/dispatch/tests/testsuite/reattach.rs
@@ -82,3 +82,17 @@
     scheduler.on_attached(START, &agent(1), &runs);
     assert_eq!(cancelled(&scheduler.take_actions()), runs);
 }
+
+/// Guards against a task that two agents get, and one of them twice: the entry had not noticed the
+/// end of the agent's stream, and sent a returned task to that agent before it compared its runs.
+#[test]
+fn no_task_is_sent_to_an_agent_before_its_runs_are_compared() {
+    let (mut scheduler, runs) = sent();
+    let event = TaskEvent { run: runs[0].clone(), status: RunStatus::NotStarted };
+    scheduler.on_hello(START + ms(60), &agent(0), &[event], &runs[1..]);
+    assert!(orders(&scheduler.take_actions()).is_empty());
+    scheduler.on_status(START + ms(60), &agent(0), status(32_000, 1.0));
+    let sent_again = orders(&scheduler.take_actions());
+    assert_eq!(sent_again.len(), 1);
+    assert_eq!(sent_again[0].1.run, TaskRun { number: 2, ..runs[0].clone() });
+}
--- a/crates/node/src/entry/streams.rs
+++ b/crates/node/src/entry/streams.rs
@@ -171,15 +171,13 @@
             accepts_same_work: hello.accepts_same_work,
             stream_id: self.stream_id,
         };
-        self.shared.streams().insert(self.agent.clone(), stream);
         let events: Vec<_> = first.events.iter().filter_map(event_from_proto).collect();
         self.shared.with_scheduler(|scheduler, now| {
+            // Orders of other tasks must not be sent on this stream before the runs are compared.
+            self.shared.streams().insert(self.agent.clone(), stream);
             let crashes = first.crashes.iter().filter_map(crash_from_proto);
             scheduler.on_crash_records(now, &self.agent, crashes);
-            for event in &events {
-                scheduler.on_task_event(now, &self.agent, event);
-            }
-            scheduler.on_attached(now, &self.agent, &held);
+            scheduler.on_hello(now, &self.agent, &events, &held);
             if let Some(status) = &first.status {
                 scheduler.on_status(now, &self.agent, status_from_proto(status));
             }
@@ -235,11 +233,12 @@
 
     fn end(&self, reason: &str) {
         log::info!("entry: event=detached agent={} reason={reason}", self.agent);
-        let mut streams = self.shared.streams();
-        if streams.get(&self.agent).is_some_and(|stream| stream.stream_id == self.stream_id) {
-            streams.remove(&self.agent);
-            drop(streams);
-            self.shared.with_scheduler(|scheduler, now| scheduler.on_detached(now, &self.agent));
-        }
+        self.shared.with_scheduler(|scheduler, now| {
+            let mut streams = self.shared.streams();
+            if streams.get(&self.agent).is_some_and(|stream| stream.stream_id == self.stream_id) {
+                streams.remove(&self.agent);
+                scheduler.on_detached(now, &self.agent);
+            }
+        });
     }
 }
