Ignore the first frame of a stream that is older than another one

An agent names the runs that it holds in the first frame of a stream. If that frame is delayed, the agent opens another stream, on which it may get orders. When the late frame arrived, its stream replaced the later one, and the runs ordered since counted as never received, so that their tasks would be started elsewhere.

The entry now ignores a first frame that the agent has sent before a frame that the entry has on another open stream. The time is that of the agent's clock in both.

--- a/crates/node/src/entry/streams.rs
+++ b/crates/node/src/entry/streams.rs
@@ -86,7 +86,9 @@
         return;
     };
     let connection = AgentConnection { shared: shared.clone(), agent: agent.clone(), stream_id };
-    connection.start(tx.clone(), hello);
+    if !connection.start(tx.clone(), hello) {
+        return;
+    }
     let heartbeats = tokio::spawn(send_heartbeats(shared.clone(), agent.clone(), tx, stream_id));
     let reason = loop {
         match timeout(STREAM_TIMEOUT, frames.message()).await {
@@ -152,7 +154,12 @@
 }
 
 impl AgentConnection {
-    fn start(&self, tx: mpsc::UnboundedSender<EntryFrame>, mut first: AgentFrame) {
+    /// Attaches the agent; returns `false` if a later stream of the agent is open.
+    fn start(&self, tx: mpsc::UnboundedSender<EntryFrame>, mut first: AgentFrame) -> bool {
+        if self.has_later_stream(first.clock_ms) {
+            log::info!("entry: event=late-hello agent={}", self.agent);
+            return false;
+        }
         self.shared.learn_evacuations(&first.evacuations, self.agent.as_str());
         let hello: AgentHello = first.hello.take().unwrap_or_default();
         let held: Vec<TaskRun> = hello.held.iter().filter_map(run_from_proto).collect();
@@ -182,6 +189,14 @@
                 scheduler.on_status(now, &self.agent, status_from_proto(status));
             }
         });
+        true
+    }
+
+    /// Returns whether the agent has an open stream with a frame that it sent after `clock_ms`. Its
+    /// orders are not known in a hello that it sent before.
+    fn has_later_stream(&self, clock_ms: u64) -> bool {
+        let streams = self.shared.streams();
+        streams.get(&self.agent).is_some_and(|stream| stream.heard_ms > clock_ms)
     }
 
     fn on_frame(&self, frame: AgentFrame) {
