Let an agent replace only incarnations that started before it

When an agent reports its endpoint as usable, the entry concludes that all other incarnations of the agent have been replaced, and starts their runs elsewhere. A frame that a former incarnation had sent and that was read late therefore ended the runs of its successor, which went on.

An agent now replaces only incarnations with an earlier start in their id. If the clock was set back between two starts, the runs of the former one count as lost after the leases have ended, as without a successor.

The test fails with the rule before.

--- a/crates/dispatch/src/id.rs
+++ b/crates/dispatch/src/id.rs
@@ -74,6 +74,21 @@
     pub fn vm_name(&self) -> &str {
         self.0.rsplit_once('@').map_or(self.as_str(), |(vm_name, _)| vm_name)
     }
+
+    /// Returns the start time in milliseconds since 1970: the number after the last `@`. An id
+    /// without one counts as the earliest.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cowslipwing_dispatch::AgentId;
+    ///
+    /// let agent: AgentId = "side-1@1700".parse().unwrap();
+    /// assert_eq!(agent.started_ms(), Some(1700));
+    /// ```
+    pub fn started_ms(&self) -> Option<u64> {
+        self.0.rsplit_once('@')?.1.parse().ok()
+    }
 }
 
 /// Identifies a task of a job.
--- a/crates/dispatch/src/scheduler/agents.rs
+++ b/crates/dispatch/src/scheduler/agents.rs
@@ -102,9 +102,12 @@
         self.endpoints.remove(agent);
     }
 
-    /// Returns the known incarnations of an agent's VM other than `agent`.
+    /// Returns the known incarnations of an agent's VM that started before `agent`. Frames of an
+    /// agent that has ended may be late, and must not end the runs of its successor.
     pub fn previous_incarnations(&self, agent: &AgentId) -> Vec<AgentId> {
-        let is_previous = |other: &&AgentId| *other != agent && other.vm_name() == agent.vm_name();
+        let is_previous = |other: &&AgentId| {
+            other.vm_name() == agent.vm_name() && other.started_ms() < agent.started_ms()
+        };
         self.endpoints.keys().filter(is_previous).cloned().collect()
     }
 
--- a/crates/dispatch/tests/testsuite/reattach.rs
+++ b/crates/dispatch/tests/testsuite/reattach.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use cowslipwing_dispatch::{Action, RunStatus, Scheduler, TaskEvent, TaskRun};
+use cowslipwing_dispatch::{Action, AgentId, RunStatus, Scheduler, TaskEvent, TaskRun};
 
-use crate::support::{agent, job, ms, orders, scheduler_with, status};
+use crate::support::{SETTINGS, agent, job, ms, orders, scheduler_with, status};
 
 const START: Duration = Duration::from_secs(1);
 /// Time at which a task of 900 ms cannot be served any more by the deadline of 1,500 ms.
@@ -96,3 +96,17 @@
     assert_eq!(sent_again.len(), 1);
     assert_eq!(sent_again[0].1.run, TaskRun { number: 2, ..runs[0].clone() });
 }
+
+/// Guards against runs that are started elsewhere while they go on: a late frame of an agent that has
+/// ended was taken for the sign that its successor had been replaced.
+#[test]
+fn an_agent_replaces_only_earlier_incarnations() {
+    let mut scheduler = Scheduler::new(SETTINGS);
+    let [older, newer, other] =
+        ["side-1@999", "side-1@1700", "side-2@5"].map(|id| id.parse::<AgentId>().unwrap());
+    for agent in [&older, &newer, &other] {
+        scheduler.on_attached(START, agent, &[]);
+    }
+    assert_eq!(scheduler.previous_incarnations(&newer), [older.clone()]);
+    assert!(scheduler.previous_incarnations(&older).is_empty());
+}
