Address each start to the endpoint that it was decided for

A start that waits to be sent took the id of the endpoint that is known when it is sent. If the endpoint was replaced in between, its run was reported as lost and the start went out nevertheless: to the next endpoint, or, while none was known, without an id, which any endpoint accepts.

The action now names the endpoint.

--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -59,6 +59,9 @@
 pub enum ExecutorAction {
     /// Starts a task at the endpoint.
     Start {
+        /// Id of the endpoint that the start is addressed to. Another one may be known when the
+        /// start is sent.
+        endpoint_id: CompactString,
         /// The run to start.
         run: TaskRun,
         /// Description of the work, passed to the endpoint as it is.
--- a/crates/dispatch/src/executor/start.rs
+++ b/crates/dispatch/src/executor/start.rs
@@ -73,6 +73,9 @@
         let Some(deadline_ms) = self.extend_lease(now) else {
             return;
         };
+        let Some(endpoint_id) = self.endpoint.as_ref().map(|endpoint| endpoint.id.clone()) else {
+            return;
+        };
         let Some(held) = self.held.get_mut(name) else {
             return;
         };
@@ -84,7 +87,8 @@
         free.reserve(held.resources);
         let run = held.run_of(name);
         let payload = held.payload.clone();
-        self.actions.push(ExecutorAction::Start { run, payload, deadline_ms, sends: 1 });
+        let start = ExecutorAction::Start { endpoint_id, run, payload, deadline_ms, sends: 1 };
+        self.actions.push(start);
     }
 
     /// Returns whether as many tasks of the step have started here as its limit allows.
@@ -144,7 +148,8 @@
         let is_silent = !self.is_listening
             || self.is_evacuated
             || self.last_listing_at.is_none_or(|at| now >= at + RESEND_LISTING_AGE);
-        let Some(held) = self.held.get_mut(name) else {
+        let endpoint_id = self.endpoint.as_ref().map(|endpoint| endpoint.id.clone());
+        let (Some(held), Some(endpoint_id)) = (self.held.get_mut(name), endpoint_id) else {
             return;
         };
         // The start must not be sent again to a later incarnation.
@@ -156,7 +161,8 @@
         held.sent_at = now;
         let run = held.run_of(name);
         let (payload, deadline_ms, sends) = (held.payload.clone(), held.deadline_ms, held.sends);
-        self.actions.push(ExecutorAction::Start { run, payload, deadline_ms, sends });
+        let start = ExecutorAction::Start { endpoint_id, run, payload, deadline_ms, sends };
+        self.actions.push(start);
     }
 
     fn on_start_refused(&mut self, now: Duration, run: &TaskRun, refusal: StartRefusal) {
--- a/crates/dispatch/tests/testsuite/executor/starts.rs
+++ b/crates/dispatch/tests/testsuite/executor/starts.rs
@@ -1,7 +1,8 @@
 //! Tests of the order of starts and of tasks returned without a start.
 
 use cowslipwing_dispatch::{
-    EndpointReport, Listing, RunOutcome, RunStatus, StartOutcome, StartRefusal, TaskEnd,
+    EndpointReport, ExecutorAction, Listing, RunOutcome, RunStatus, StartOutcome, StartRefusal,
+    TaskEnd,
 };
 
 use super::{START, executor, listing, order, report, reported, run, starts};
@@ -73,3 +74,19 @@
         assert_eq!(executor.started_count(), 0);
     }
 }
+
+/// Guards against a start that another endpoint carries out after its run was reported as lost: the
+/// known endpoint changed between the decision and the call.
+#[test]
+fn a_start_is_addressed_to_the_endpoint_that_it_was_decided_for() {
+    let mut executor = executor();
+    executor.on_order(START, order(0, 1000, ms(500)));
+    executor.on_incarnation_mismatch(START, "i-1");
+    executor.on_report(START, EndpointReport { id: "i-2".into(), incarnation: 8, ..report(1) });
+    let addressee = |action: &ExecutorAction| match action {
+        ExecutorAction::Start { endpoint_id, .. } => Some(endpoint_id.to_string()),
+        _ => None,
+    };
+    let addressees: Vec<String> = executor.take_actions().iter().filter_map(addressee).collect();
+    assert_eq!(addressees, ["i-1"]);
+}
--- a/crates/dispatch/tests/testsuite/executor/unanswered.rs
+++ b/crates/dispatch/tests/testsuite/executor/unanswered.rs
@@ -10,8 +10,8 @@
 /// Returns the actions with `sends` of each start replaced by `count`.
 fn resent(actions: &[ExecutorAction], count: u32) -> Vec<ExecutorAction> {
     let resent = |action: &ExecutorAction| match action.clone() {
-        ExecutorAction::Start { run, payload, deadline_ms, .. } => {
-            ExecutorAction::Start { run, payload, deadline_ms, sends: count }
+        ExecutorAction::Start { endpoint_id, run, payload, deadline_ms, .. } => {
+            ExecutorAction::Start { endpoint_id, run, payload, deadline_ms, sends: count }
         }
         other => other,
     };
--- a/crates/dispatch/tests/testsuite/simulation.rs
+++ b/crates/dispatch/tests/testsuite/simulation.rs
@@ -5,8 +5,9 @@
 //! deadline, refuses runs that it has stopped, and stops all runs when its lease expires. After a
 //! crash it remembers nothing, and may start again under its former id, so that calls meant for the
 //! former incarnation are carried out by the new one. Calls that have reached an incarnation are lost
-//! with it. Each step checks that its capacity is not exceeded, that no task runs twice,
-//! and that a run reported as not started has not run in any incarnation and does not run later.
+//! with it. Each step checks that its capacity is not exceeded, that no task runs twice, that a run
+//! reported as ended does not run, and that a run reported as not started has not run in any
+//! incarnation and does not run later.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -137,6 +138,8 @@
     ever_started: BTreeSet<TaskRun>,
     /// Runs that were reported as not started.
     not_started: Vec<TaskRun>,
+    /// Runs that were reported as ended, in any way.
+    ended: Vec<TaskRun>,
     next_order: u32,
 }
 
@@ -164,6 +167,7 @@
             ordered_cpu: BTreeMap::new(),
             ever_started: BTreeSet::new(),
             not_started: Vec::new(),
+            ended: Vec::new(),
             next_order: 0,
         };
         simulation.announce();
@@ -216,8 +220,7 @@
     }
 
     /// Makes a call; `random` decides whether it is answered, lost or delayed.
-    fn call(&mut self, call: Call, random: u8) -> Option<StartOutcome> {
-        let endpoint_id = self.executor.endpoint().map(|known| known.id.to_string())?;
+    fn call(&mut self, endpoint_id: String, call: Call, random: u8) -> Option<StartOutcome> {
         let call = AddressedCall { endpoint_id, incarnation: self.incarnation, call };
         match random % 8 {
             0 => {
@@ -288,9 +291,9 @@
     fn execute_actions(&mut self, random: u8) {
         for action in self.executor.take_actions() {
             match action {
-                ExecutorAction::Start { run, deadline_ms, .. } => {
+                ExecutorAction::Start { endpoint_id, run, deadline_ms, .. } => {
                     let call = Call::Start { run: run.clone(), deadline_ms };
-                    match self.call(call, random) {
+                    match self.call(endpoint_id.to_string(), call, random) {
                         Some(outcome) => self.executor.on_start_reply(self.now, &run, outcome),
                         // The connection breaks at once, or the call times out later.
                         None if random % 16 < 8 => self.no_reply(&run),
@@ -298,16 +301,21 @@
                     }
                 }
                 ExecutorAction::Stop(run) => {
-                    let outcome = self.call(Call::Stop(run.clone()), random / 8);
+                    let known_id = self.executor.endpoint().map(|known| known.id.to_string());
+                    let call = Call::Stop(run.clone());
+                    let outcome = known_id.and_then(|id| self.call(id, call, random / 8));
                     if outcome == Some(StartOutcome::Started) {
                         self.executor.on_stop_confirmed(self.now, &run);
                     }
                 }
-                ExecutorAction::NotifyEntry(_, event) => {
-                    if matches!(event.status, RunStatus::NotStarted | RunStatus::StaleRun) {
-                        self.not_started.push(event.run);
+                ExecutorAction::NotifyEntry(_, event) => match event.status {
+                    RunStatus::Slow(_) | RunStatus::Overrun(_) => {}
+                    RunStatus::NotStarted | RunStatus::StaleRun => {
+                        self.not_started.push(event.run.clone());
+                        self.ended.push(event.run);
                     }
-                }
+                    _ => self.ended.push(event.run),
+                },
                 ExecutorAction::ShareCrash(..) => {}
             }
         }
@@ -350,6 +358,9 @@
         if tasks.len() < self.endpoint.running.len() {
             return Err("a task runs twice".into());
         }
+        if let Some(run) = self.ended.iter().find(|run| self.endpoint.running.contains_key(*run)) {
+            return Err(format!("{run} was reported as ended but runs"));
+        }
         match self.not_started.iter().find(|run| self.ever_started.contains(*run)) {
             Some(run) => Err(format!("{run} was reported as not started but has run")),
             None => Ok(()),
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -465,13 +465,13 @@
         let endpoint_id = self.endpoint_id();
         for action in self.executor.take_actions() {
             match action {
-                ExecutorAction::Start { run, payload, deadline_ms, sends } => {
+                ExecutorAction::Start { endpoint_id, run, payload, deadline_ms, sends } => {
                     self.metrics.count("start");
                     if sends > 1 {
                         self.metrics.count("start_again");
                         log::info!("agent: event=start-again task={run} sends={sends}");
                     }
-                    self.calls.start(endpoint_id.clone(), run, payload, deadline_ms);
+                    self.calls.start(endpoint_id.to_string(), run, payload, deadline_ms);
                 }
                 ExecutorAction::Stop(run) => {
                     self.metrics.count("stop");
