Let only the endpoint's answers decide which incarnation is there

Cause, two steps: any report with a later start replaced the known endpoint, and a refused call to the id in that report counted as proof that this incarnation had ended with all its runs. It had never been there.

The agent logs announced endpoint=i-77, then other-incarnation asked=i-77 forgotten=true, then the run with fate=Crashed(Suspect). Ruled out: a restart of the endpoint, which lists the run all the while.

A report of another incarnation is now a claim. Calls go on to the known endpoint; its answer disproves the claims that had arrived before the request, and a refusal of its id proves that it has gone, which is the only case in which its runs are lost. Then the claims are tried, the latest first. Only confirmed reports go to entries and to the store.

Two changes of tests: the endpoints of the simulated fleet refuse calls to their former id, as the protocol has it; and a_report_of_the_listed_incarnation_replaces_one_that_is_not_listed, which expected that the known report had been replaced for a while, is replaced by one that expects that it never is and that the endpoint is usable again without a further report.

--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -5,6 +5,7 @@
 //! that do not fit at once wait in the order of priority and latest useful start, and return to their
 //! entry when that moment has passed.
 
+mod claims;
 mod evacuation;
 mod held_task;
 mod incarnation;
@@ -28,6 +29,7 @@
 use crate::samples::{Samples, SlownessEstimator};
 use crate::scheduler::{RunStatus, TaskEvent};
 
+use claims::Claims;
 use evacuation::ColdStart;
 use held_task::{HeldTask, Phase};
 
@@ -83,14 +85,13 @@
 /// The state that an agent keeps of its endpoint and of the tasks that it holds.
 pub struct Executor {
     settings: ExecutorSettings,
+    /// The endpoint that calls are addressed to.
     endpoint: Option<EndpointReport>,
+    /// Reports of other incarnations about which no answer of the endpoint has decided yet.
+    claims: Claims,
     /// Incarnation that sent the most recent listing.
     listed_incarnation: Option<u64>,
     last_listing_at: Option<Duration>,
-    /// Time at which the most recent listing was requested.
-    listing_requested_at: Duration,
-    /// Time at which the report in `endpoint` arrived.
-    reported_at: Duration,
     /// Agent time and endpoint clock in milliseconds, as of the most recent listing.
     clock: Option<(Duration, u64)>,
     /// Latest lease deadline sent to the endpoint, in milliseconds on its clock.
@@ -129,10 +130,9 @@
         Self {
             settings,
             endpoint: None,
+            claims: Claims::default(),
             listed_incarnation: None,
             last_listing_at: None,
-            listing_requested_at: Duration::ZERO,
-            reported_at: Duration::ZERO,
             clock: None,
             lease_deadline_ms: 0,
             last_acked: 0,
@@ -168,7 +168,7 @@
 
     /// Returns what is known of the runs at the endpoint.
     pub fn activity(&self) -> EndpointActivity {
-        if self.last_listing_at.is_none() || !self.is_listening {
+        if self.last_listing_at.is_none() || !self.is_listening || !self.claims.is_empty() {
             EndpointActivity::Unknown
         } else if self.held.is_empty() && self.unknown_runs.is_empty() {
             EndpointActivity::Idle
--- a/crates/dispatch/src/executor/incarnation.rs
+++ b/crates/dispatch/src/executor/incarnation.rs
@@ -19,63 +19,91 @@
 impl Executor {
     /// Records a report of the endpoint; returns whether the incarnation, its draining state or its
     /// capacity changed.
+    ///
+    /// A report of another incarnation than the known one changes nothing until an answer of the
+    /// endpoint decides about it.
     pub fn on_report(&mut self, now: Duration, report: EndpointReport) -> bool {
-        if let Some(endpoint) = &self.endpoint {
-            let is_older = if report.incarnation == endpoint.incarnation {
-                report.sequence < endpoint.sequence
+        let Some(known) = &self.endpoint else {
+            self.adopt(now, report);
+            self.start_queued(now);
+            return true;
+        };
+        if !known.is_same_incarnation(&report) {
+            // A listing may have shown the new incarnation before its report arrived.
+            let is_listed =
+                known.id == report.id && self.listed_incarnation == Some(report.incarnation);
+            if is_listed {
+                self.adopt(now, report);
+                self.start_queued(now);
             } else {
-                report.incarnation < endpoint.incarnation && !self.has_disproved(&report)
-            };
-            if is_older {
-                return false;
+                self.claims.add(now, report);
             }
+            return is_listed;
         }
-        if self.listed_incarnation.is_some_and(|incarnation| report.incarnation < incarnation) {
+        if report.sequence < known.sequence {
             return false;
         }
-        // A listing may have shown the new incarnation before its report arrived.
-        let is_restarted = self
-            .endpoint
-            .as_ref()
-            .is_some_and(|endpoint| endpoint.incarnation != report.incarnation)
-            && self.listed_incarnation != Some(report.incarnation);
-        let is_changed = self.endpoint.as_ref().is_none_or(|endpoint| {
-            endpoint.incarnation != report.incarnation
-                || endpoint.draining != report.draining
-                || endpoint.capacity != report.capacity
-        });
-        if is_restarted {
-            self.on_new_incarnation();
-        }
-        let draining = report.draining;
+        let is_changed = report.differs_from(known);
         // A report that an entry or the store remembers has no cold time, and must not end the one
         // that the same report had when it was announced.
-        let is_known = self.endpoint.as_ref().is_some_and(|endpoint| {
-            endpoint.incarnation == report.incarnation && endpoint.sequence == report.sequence
-        });
         let cold_until = now + report.cold_remaining;
-        self.cold_until = if is_known { cold_until.max(self.cold_until) } else { cold_until };
+        self.cold_until = if report.sequence == known.sequence {
+            cold_until.max(self.cold_until)
+        } else {
+            cold_until
+        };
+        self.use_report(report);
+        self.start_queued(now);
+        is_changed
+    }
+
+    /// Takes a report for that of the endpoint, which a listing must confirm before tasks start.
+    fn adopt(&mut self, now: Duration, report: EndpointReport) {
+        self.cold_until = now + report.cold_remaining;
+        self.use_report(report);
+    }
+
+    fn use_report(&mut self, report: EndpointReport) {
+        let draining = report.draining;
         self.endpoint = Some(report);
-        self.reported_at = now;
         if draining {
             self.return_queued();
         }
-        self.start_queued(now);
-        is_changed
     }
 
-    /// Returns whether the endpoint has listed the incarnation of `report` since the known report
-    /// arrived. The known one is then from another writer, or from before a clock was set back.
-    fn has_disproved(&self, report: &EndpointReport) -> bool {
-        self.listed_incarnation == Some(report.incarnation)
-            && self.listing_requested_at > self.reported_at
+    /// Returns the report of the endpoint if the endpoint has confirmed its incarnation.
+    pub fn confirmed_report(&self) -> Option<&EndpointReport> {
+        let is_confirmed =
+            |report: &&EndpointReport| self.listed_incarnation == Some(report.incarnation);
+        self.endpoint.as_ref().filter(is_confirmed)
+    }
+
+    /// Decides about the claims to be another incarnation by a listing that the known endpoint has
+    /// answered.
+    pub(super) fn decide_claims(&mut self, now: Duration, listing: &Listing) {
+        if let Some(known) = &self.endpoint
+            && known.incarnation != listing.incarnation
+            && let Some(report) = self.claims.take(&known.id, listing.incarnation)
+        {
+            self.adopt(now, report);
+        }
+        self.claims.drop_disproved(listing.requested_at);
     }
 
     /// Handles the departure of the endpoint with this id.
-    pub fn on_endpoint_left(&mut self, id: &str) {
+    pub fn on_endpoint_left(&mut self, now: Duration, id: &str) {
+        self.claims.drop_id(id);
         if self.endpoint.as_ref().is_some_and(|endpoint| endpoint.id == id) {
-            self.endpoint = None;
             self.return_queued();
+            self.forget_endpoint(now);
+        }
+    }
+
+    /// Forgets the endpoint and turns to the latest incarnation that claims to be there.
+    fn forget_endpoint(&mut self, now: Duration) {
+        self.endpoint = None;
+        if let Some(report) = self.claims.take_latest() {
+            self.adopt(now, report);
         }
     }
 
@@ -153,17 +181,21 @@
 
     /// Handles a call that was addressed to the incarnation `expected_id` and answered by another.
     ///
-    /// The addressed incarnation is gone, so its runs are lost. They are given up, the queued tasks
-    /// are returned to their entries, and the result is `true`. If the known endpoint already has
-    /// another id, nothing changes and the result is `false`.
+    /// If the known endpoint has that id, it is not at the address. If it has been there, its runs
+    /// are lost and are given up. The queued tasks are returned to their entries, and the result is
+    /// `true`. If the known endpoint already has another id, nothing changes and the result is
+    /// `false`.
     pub fn on_incarnation_mismatch(&mut self, now: Duration, expected_id: &str) -> bool {
         if self.endpoint.as_ref().is_some_and(|endpoint| endpoint.id != expected_id) {
             return false;
         }
-        self.on_new_incarnation();
-        self.endpoint = None;
-        self.give_up_started(now);
+        // Tasks start only at an endpoint that has answered a listing.
+        if self.listed_incarnation.is_some() {
+            self.on_new_incarnation();
+            self.give_up_started(now);
+        }
         self.return_queued();
+        self.forget_endpoint(now);
         true
     }
 
--- a/crates/dispatch/src/executor/listing.rs
+++ b/crates/dispatch/src/executor/listing.rs
@@ -31,9 +31,9 @@
         self.listed_incarnation = Some(listing.incarnation);
         self.is_listening = true;
         self.last_listing_at = Some(now);
-        self.listing_requested_at = listing.requested_at;
         self.clock = Some((now, listing.clock_ms));
         self.lease_deadline_ms = self.lease_deadline_ms.max(listing.clock_ms);
+        self.decide_claims(now, listing);
         self.judge_by_listing(listing);
         for end in &listing.ended {
             self.on_end(now, end);
--- a/crates/dispatch/src/executor/report.rs
+++ b/crates/dispatch/src/executor/report.rs
@@ -31,6 +31,20 @@
     pub sequence: u64,
 }
 
+impl EndpointReport {
+    /// Returns whether two reports are of the same incarnation.
+    pub fn is_same_incarnation(&self, other: &Self) -> bool {
+        self.id == other.id && self.incarnation == other.incarnation
+    }
+
+    /// Returns whether an agent that restarts must learn of the change between two reports.
+    pub fn differs_from(&self, other: &Self) -> bool {
+        !self.is_same_incarnation(other)
+            || self.draining != other.draining
+            || self.capacity != other.capacity
+    }
+}
+
 /// Progress of a run at the endpoint.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TaskProgress {
--- a/crates/dispatch/tests/testsuite/executor.rs
+++ b/crates/dispatch/tests/testsuite/executor.rs
@@ -1,5 +1,6 @@
 //! Tests of what an agent starts, stops and gives up.
 
+mod claims;
 mod incarnations;
 mod leases;
 mod progress;
--- a/crates/dispatch/tests/testsuite/executor/incarnations.rs
+++ b/crates/dispatch/tests/testsuite/executor/incarnations.rs
@@ -372,16 +372,19 @@
 }
 
 /// Guards against an endpoint that stays unusable after a report from another writer with a start in
-/// the future, or after a restart with the clock set back.
+/// the future, or after a restart with the clock set back. No further report of the endpoint is
+/// needed.
 #[test]
-fn a_report_of_the_listed_incarnation_replaces_one_that_is_not_listed() {
+fn a_report_that_is_not_listed_does_not_replace_that_of_the_listed_incarnation() {
     let mut executor = executor();
-    executor.on_report(START + ms(10), EndpointReport { incarnation: 4_000_000, ..report(2) });
+    let claim = EndpointReport { incarnation: 4_000_000, ..report(2) };
+    assert!(!executor.on_report(START + ms(10), claim));
     assert!(!executor.status(START + ms(10)).usable);
     // A listing that was requested before does not disprove the report.
     executor.on_listing(START + ms(20), &listing(START + ms(5)));
     assert!(!executor.on_report(START + ms(25), report(3)));
+    assert!(!executor.status(START + ms(25)).usable);
     executor.on_listing(START + ms(40), &listing(START + ms(30)));
-    assert!(executor.on_report(START + ms(50), report(3)));
-    assert!(executor.status(START + ms(50)).usable);
+    assert!(executor.status(START + ms(40)).usable);
+    assert_eq!(executor.confirmed_report(), Some(&report(3)));
 }
--- a/crates/dispatch/tests/testsuite/fleet.rs
+++ b/crates/dispatch/tests/testsuite/fleet.rs
@@ -102,7 +102,13 @@
             return;
         }
         self.down_until = None;
-        self.executor.on_report(now, self.report());
+        let report = self.report();
+        self.executor.on_report(now, report.clone());
+        let known_id = self.executor.endpoint().map(|known| known.id.clone());
+        if let Some(id) = known_id.filter(|id| *id != report.id) {
+            // The endpoint refuses calls that are addressed to its former incarnation.
+            self.executor.on_incarnation_mismatch(now, &id);
+        }
         let acked = self.executor.last_acked();
         self.ended.retain(|end| end.sequence > acked);
         let is_done = |until: &Duration| now >= *until;
--- a/crates/dispatch/tests/testsuite/simulation.rs
+++ b/crates/dispatch/tests/testsuite/simulation.rs
@@ -5,9 +5,9 @@
 //! deadline, refuses runs that it has stopped, and stops all runs when its lease expires. After a
 //! crash it remembers nothing, and may start again under its former id, so that calls meant for the
 //! former incarnation are carried out by the new one. Calls that have reached an incarnation are lost
-//! with it. Each step checks that its capacity is not exceeded, that no task runs twice, that a run
-//! reported as ended does not run, and that a run reported as not started has not run in any
-//! incarnation and does not run later.
+//! with it. Other writers send reports of endpoints that are not there. Each step checks that its
+//! capacity is not exceeded, that no task runs twice, that a run reported as ended does not run, and
+//! that a run reported as not started has not run in any incarnation and does not run later.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -209,6 +209,25 @@
         }
     }
 
+    /// Passes on a report of another writer, or a late one: of another incarnation, under the id of the
+    /// endpoint or another one.
+    fn disturb(&mut self, random: u8) {
+        let id = if random & 1 == 0 { "x-1".to_owned() } else { self.id() };
+        let incarnation = if random & 2 == 0 { self.incarnation + 1000 } else { 3 };
+        let claim = EndpointReport {
+            id: id.into(),
+            incarnation,
+            service: "elsewhere".into(),
+            capacity: Resources { cpu_millis: 64_000, memory_mb: 65_536, gpus: 0 },
+            kind: "b".into(),
+            rack: "r9".into(),
+            draining: random & 8 == 0,
+            cold_remaining: Duration::ZERO,
+            sequence: 1,
+        };
+        self.executor.on_report(self.now, claim);
+    }
+
     /// Carries out a call at the endpoint if its incarnation has the id that the call names.
     fn carry_out(&mut self, call: &AddressedCall) -> StartOutcome {
         if call.endpoint_id != self.id() {
@@ -376,6 +395,7 @@
             match kind % 5 {
                 0 | 1 => simulation.order(random),
                 2 if random % 16 == 5 => simulation.restart_endpoint(random / 16),
+                2 if random % 16 == 6 => simulation.disturb(random / 16),
                 2 => simulation.executor.on_tick(simulation.now),
                 _ => simulation.list(random),
             }
@@ -407,6 +427,7 @@
             match kind % 5 {
                 0 | 1 => simulation.order(byte()),
                 2 if random % 16 == 5 => simulation.restart_endpoint(random / 16),
+                2 if random % 16 == 6 => simulation.disturb(random / 16),
                 2 => simulation.executor.on_tick(simulation.now),
                 _ => simulation.list(byte()),
             }
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -142,6 +142,8 @@
     streams: SortedMap<EntryId, EntryStream>,
     /// Task events for each entry, with or without an open stream.
     outboxes: SortedMap<EntryId, Outbox>,
+    /// Report of the endpoint that was last sent to the entries.
+    shared_report: Option<EndpointReport>,
     /// Whether a list request has been sent and the next one is not due yet.
     listing_in_flight: bool,
     /// Whether the endpoint answered the last list request.
@@ -178,6 +180,7 @@
             evacuations: Evacuations::default(),
             streams: SortedMap::new(),
             outboxes: SortedMap::new(),
+            shared_report: None,
             listing_in_flight: false,
             is_reachable: false,
             is_stopping: false,
@@ -209,6 +212,7 @@
             while let Ok(event) = events.try_recv() {
                 self.on_event(event);
             }
+            self.share_report();
             self.execute_actions();
             self.request_listing();
             self.send_frames();
@@ -224,7 +228,7 @@
             Event::EndpointAnnounced(report) => self.on_announced(now, report, "announcement"),
             Event::EndpointLeft(id) => {
                 log::info!("agent: event=endpoint-left endpoint={id}");
-                self.executor.on_endpoint_left(&id);
+                self.executor.on_endpoint_left(now, &id);
                 self.mark_status_changed();
             }
             Event::ListReply { endpoint_id, result } => self.on_listing(now, &endpoint_id, result),
@@ -278,13 +282,30 @@
             report.capacity.cpu_millis
         );
         if self.executor.on_report(now, report.clone()) {
-            for (_, stream) in self.streams.iter_mut() {
-                stream.report = Some(report_to_proto(&report));
-            }
-            self.reports.send_replace(Some(report));
             log::info!("agent: event=announced {line}");
             self.mark_status_changed();
         }
+        if self.executor.endpoint().is_some_and(|known| !known.is_same_incarnation(&report)) {
+            self.metrics.count("endpoint_claim");
+            log::info!("agent: event=endpoint-claimed known={} {line}", self.endpoint_id());
+        }
+    }
+
+    /// Sends the report of the endpoint to all entries and to the store, if the endpoint has confirmed
+    /// it and it has changed.
+    fn share_report(&mut self) {
+        let Some(report) = self.executor.confirmed_report() else {
+            return;
+        };
+        if self.shared_report.as_ref().is_some_and(|shared| !report.differs_from(shared)) {
+            return;
+        }
+        for (_, stream) in self.streams.iter_mut() {
+            stream.report = Some(report_to_proto(report));
+        }
+        self.shared_report = Some(report.clone());
+        self.reports.send_replace(Some(report.clone()));
+        self.mark_status_changed();
     }
 
     fn on_listing(
@@ -351,7 +372,7 @@
             status: Some(status_to_proto(&self.executor.status(now))),
             events: events.iter().map(event_to_proto).collect(),
             crashes: crashes_to_proto(now, self.executor.crash_log()),
-            report: self.executor.endpoint().map(report_to_proto),
+            report: self.executor.confirmed_report().map(report_to_proto),
             evacuations: announced.iter().map(evacuation_to_proto).collect(),
         };
         // If the stream has already ended, a `StreamClosed` event follows.
