Follow the runs of an endpoint after its departure was announced

An agent that heard that its endpoint had left stopped to call it at once. The announcement may be late, from an earlier incarnation with the same id, or from another writer. The runs of a sound endpoint then lapsed, since nobody prolonged their lease, and their tasks ran again elsewhere.

The queue is still returned at once and nothing starts, but the runs are followed until they end or nothing listens at the endpoint's address. A later report of the endpoint makes it usable again. Runs that end with it count as stopped, as those of a draining endpoint.

The first test of the departure fails before this commit; the random histories have such announcements now.

--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -87,6 +87,8 @@
     settings: ExecutorSettings,
     /// The endpoint that calls are addressed to.
     endpoint: Option<EndpointReport>,
+    /// Whether the departure of the endpoint has been announced since its most recent report.
+    has_left: bool,
     /// Reports of other incarnations about which no answer of the endpoint has decided yet.
     claims: Claims,
     /// Incarnation that sent the most recent listing.
@@ -130,6 +132,7 @@
         Self {
             settings,
             endpoint: None,
+            has_left: false,
             claims: Claims::default(),
             listed_incarnation: None,
             last_listing_at: None,
@@ -268,6 +271,7 @@
         }
         let is_refused = self.is_draining
             || self.is_evacuated
+            || self.has_left
             || self.held.contains(&name)
             || self.endpoint.as_ref().is_none_or(|endpoint| {
                 endpoint.draining || !endpoint.capacity.can_fit(order.resources)
@@ -291,6 +295,7 @@
         self.follow_up_unanswered(now);
         self.expire_entry_leases(now);
         self.give_up_expired(now);
+        self.forget_departed(now);
         self.resend_stops(now);
         self.start_queued(now);
     }
--- a/crates/dispatch/src/executor/incarnation.rs
+++ b/crates/dispatch/src/executor/incarnation.rs
@@ -50,6 +50,7 @@
         self.cold_until = if report.sequence == known.sequence {
             cold_until.max(self.cold_until)
         } else {
+            self.has_left = false;
             cold_until
         };
         self.use_report(report);
@@ -60,6 +61,7 @@
     /// Takes a report for that of the endpoint, which a listing must confirm before tasks start.
     fn adopt(&mut self, now: Duration, report: EndpointReport) {
         self.cold_until = now + report.cold_remaining;
+        self.has_left = false;
         self.use_report(report);
     }
 
@@ -90,11 +92,22 @@
         self.claims.drop_disproved(listing.requested_at);
     }
 
-    /// Handles the departure of the endpoint with this id.
+    /// Handles the announced departure of the endpoint with this id.
+    ///
+    /// The announcement may be late or from another writer, so runs at the endpoint are followed
+    /// until their ends are known.
     pub fn on_endpoint_left(&mut self, now: Duration, id: &str) {
         self.claims.drop_id(id);
         if self.endpoint.as_ref().is_some_and(|endpoint| endpoint.id == id) {
+            self.has_left = true;
             self.return_queued();
+            self.forget_departed(now);
+        }
+    }
+
+    /// Forgets an endpoint that has left once no run can be there.
+    pub(super) fn forget_departed(&mut self, now: Duration) {
+        if self.has_left && (self.started_count() == 0 || !self.is_listening) {
             self.forget_endpoint(now);
         }
     }
@@ -102,6 +115,7 @@
     /// Forgets the endpoint and turns to the latest incarnation that claims to be there.
     fn forget_endpoint(&mut self, now: Duration) {
         self.endpoint = None;
+        self.has_left = false;
         if let Some(report) = self.claims.take_latest() {
             self.adopt(now, report);
         }
@@ -130,7 +144,8 @@
 
     /// Records for each started task that the incarnation has ended which it was sent to.
     fn record_incarnation_end(&mut self) {
-        let has_crashed = self.endpoint.as_ref().is_some_and(|endpoint| !endpoint.draining);
+        let has_crashed =
+            !self.has_left && self.endpoint.as_ref().is_some_and(|endpoint| !endpoint.draining);
         let is_affected =
             |held: &HeldTask| held.phase != Phase::Queued && held.incarnation_end.is_none();
         for (_, held) in self.held.iter_mut().filter(|(_, held)| is_affected(held)) {
@@ -212,6 +227,7 @@
             self.remove_lost(now, &name);
         }
         self.return_queued();
+        self.forget_departed(now);
     }
 
     /// Removes all started tasks and reports them to their entries as lost.
--- a/crates/dispatch/src/executor/listing.rs
+++ b/crates/dispatch/src/executor/listing.rs
@@ -49,6 +49,7 @@
         for name in self.tasks_where(|held| held.phase != Phase::Queued) {
             self.resolve_unlisted(now, &name, listing);
         }
+        self.forget_departed(now);
         self.start_queued(now);
     }
 
--- a/crates/dispatch/src/executor/start.rs
+++ b/crates/dispatch/src/executor/start.rs
@@ -54,6 +54,7 @@
         is_listing_recent
             && self.is_listening
             && accepts_tasks
+            && !self.has_left
             && self.claims.is_empty()
             && self.unknown_runs.is_empty()
             && !self.is_draining
--- a/crates/dispatch/tests/testsuite/executor/claims.rs
+++ b/crates/dispatch/tests/testsuite/executor/claims.rs
@@ -100,3 +100,41 @@
         assert!(executor.status(at).usable);
     }
 }
+
+/// Guards against runs that lapse at a sound endpoint, because the departure of an earlier endpoint
+/// with the same id was announced late, or by another writer.
+#[test]
+fn the_runs_of_an_endpoint_are_followed_after_its_departure_was_announced() {
+    for is_reported_again in [false, true] {
+        let mut executor = busy_executor();
+        executor.on_endpoint_left(START + ms(10), "i-1");
+        assert_eq!(reported(&executor.take_actions()), [(run(1), RunStatus::NotStarted)]);
+        assert!(!executor.status(START + ms(10)).usable);
+        assert!(executor.endpoint().is_some(), "the agent goes on asking for listings");
+        let running = vec![TaskProgress { run: run(0), percent: 50 }];
+        let at = START + ms(20);
+        executor.on_listing(at, &Listing { running, ..listing(at) });
+        assert!(reported(&executor.take_actions()).is_empty());
+        if is_reported_again {
+            executor.on_report(START + ms(30), report(2));
+        }
+        assert_eq!(executor.status(START + ms(30)).usable, is_reported_again);
+        let end = TaskEnd { sequence: 1, run: run(0), outcome: RunOutcome::Done };
+        let at = START + ms(40);
+        executor.on_listing(at, &Listing { ended: vec![end], ..listing(at) });
+        let done = (run(0), RunStatus::Done(ms(40)));
+        assert_eq!(reported(&executor.take_actions()), [done]);
+        assert_eq!(executor.endpoint().is_some(), is_reported_again);
+    }
+}
+
+/// An endpoint that has left as announced ends what still runs. That is no crash.
+#[test]
+fn runs_of_an_endpoint_that_has_left_count_as_stopped() {
+    let mut executor = busy_executor();
+    executor.on_endpoint_left(START + ms(10), "i-1");
+    executor.take_actions();
+    executor.on_not_listening(START + ms(20));
+    assert_eq!(reported(&executor.take_actions()), [(run(0), RunStatus::Stopped)]);
+    assert!(executor.endpoint().is_none());
+}
--- a/crates/dispatch/tests/testsuite/simulation.rs
+++ b/crates/dispatch/tests/testsuite/simulation.rs
@@ -209,10 +209,14 @@
         }
     }
 
-    /// Passes on a report of another writer, or a late one: of another incarnation, under the id of the
-    /// endpoint or another one.
+    /// Passes on a message of another writer, or a late one: a report of another incarnation, under
+    /// the id of the endpoint or another one, or the departure of an endpoint with its id.
     fn disturb(&mut self, random: u8) {
         let id = if random & 1 == 0 { "x-1".to_owned() } else { self.id() };
+        if random & 6 == 6 {
+            self.executor.on_endpoint_left(self.now, &id);
+            return;
+        }
         let incarnation = if random & 2 == 0 { self.incarnation + 1000 } else { 3 };
         let claim = EndpointReport {
             id: id.into(),
