Cut off callers, cancel jobs and send foreign messages in the soak

Its endpoints answered calls to any id.

Each run now has a second series of faults, planned with a generator of its own so that the first series of a seed stays as it is: the connections of an entry's callers are cut, alone or together with those of agents and entries, and agents get reports of other endpoints and incarnations, a departure, unreadable bytes, and a foreign report in the store. Six in a hundred jobs are cancelled. A task of a cancelled job may not start later than 3 s after the confirmation, nor run on for longer than the stop takes. The stand-in refuses calls to other ids, and changes its id at each second restart.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -21,6 +21,10 @@
 /// Number of failed runs of a task from which its job may be answered as failed; the attempts that
 /// the configuration allows.
 const FAILURES_TO_FAIL: usize = 3;
+/// Time after the confirmation of a cancellation from which no task of the job may start.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time that the stop of a run may take.
+const STOP_TIME: Duration = Duration::from_millis(50);
 /// Least time between the end of another fault and a planned stop for which the stop must not abort
 /// requests. Requests sent in that time count as well.
 pub(crate) const STOP_MARGIN: Duration = Duration::from_secs(3);
@@ -42,6 +46,8 @@
     CrashedAgain(String),
     /// A job was answered as failed although none of its tasks had failed or crashed often enough.
     FailedWithoutCause(String),
+    /// A task of a cancelled job was started, or ran on, after the time allowed for its cancellation.
+    RanAfterCancel(String),
     /// A planned stop of an entry broke the connection of a request that had started tasks.
     AbortedByStop(String),
     /// An entry returned to an older configuration without a restart.
@@ -65,6 +71,7 @@
                 write!(f, "task crashes endpoint after endpoint: {detail}")
             }
             Self::FailedWithoutCause(detail) => write!(f, "job failed without cause: {detail}"),
+            Self::RanAfterCancel(detail) => write!(f, "cancelled job runs on: {detail}"),
             Self::AbortedByStop(detail) => write!(f, "request aborted by a planned stop: {detail}"),
             Self::ConfigReverted(detail) => write!(f, "configuration reverted: {detail}"),
             Self::ConfigNotInForce(detail) => write!(f, "configuration not in force: {detail}"),
@@ -126,6 +133,7 @@
     for request in requests {
         violations.extend(find_request_violation(request, run_events));
         violations.extend(find_failure_without_cause(request, run_events));
+        violations.extend(find_run_after_cancel(request, run_events));
         violations.extend(find_aborted_request(request, run_events, &timeline.stops));
     }
     violations.extend(find_config_violations(probes, timeline));
@@ -235,6 +243,19 @@
     first_undone.map(|index| Violation::IncompleteJob(format!("{} task {index}", request.id)))
 }
 
+fn find_run_after_cancel(request: &Request, run_events: &[RunEvent]) -> Option<Violation> {
+    let cancelled_at = request.cancelled_at?;
+    let is_late = |event: &&RunEvent| {
+        let limit =
+            if event.outcome.is_some() { CANCEL_TIMEOUT + STOP_TIME } else { CANCEL_TIMEOUT };
+        event.request_id() == request.id && event.at > cancelled_at + limit
+    };
+    let event = run_events.iter().find(is_late)?;
+    let after = event.at - cancelled_at;
+    let detail = format!("{} run {} {:?}, {after:?} later", event.task, event.run, event.outcome);
+    Some(Violation::RanAfterCancel(detail))
+}
+
 fn find_aborted_request(
     request: &Request,
     run_events: &[RunEvent],
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -3,18 +3,21 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::Mutex;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use cowslipwing_platform::HttpClient;
 use cowslipwing_standin::platform::{
     EndpointBehaviour, PlatformEndpoint, PlatformStore, RunLog, StoreBehaviour,
 };
+use hyper::Method;
 use nix::sys::signal::Signal;
 use serde_json::json;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::load::REQUEST_TIMEOUT;
-use crate::plan::Fault;
+use crate::plan::{CutConnections, Fault, OddMessage};
 use crate::process::Daemon;
 use crate::proxy::{LinkBehaviour, Proxy};
 
@@ -34,6 +37,12 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Pause between the exit of a stopped process and its restart.
 const RESTART_PAUSE: Duration = Duration::from_millis(100);
+/// Id of an endpoint that does not exist.
+const OTHER_ID: &str = "i-other";
+/// Topic of the store in which agents save the reports of their endpoints.
+const ENDPOINTS_TOPIC: &str = "keyed.endpoints";
+/// Timeout of a message to an agent.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Difference between the versions of consecutive configurations.
 const CONFIG_VERSION_STEP: u64 = 3;
 
@@ -45,6 +54,8 @@
     daemons: Vec<Mutex<Daemon>>,
     /// Proxy of each daemon: in front of an entry, or between an agent and its endpoint.
     links: Vec<Proxy>,
+    /// Number of times that the connections of the callers of each entry were cut.
+    caller_cuts: Vec<watch::Sender<u64>>,
     /// Endpoints in the order of their agents.
     endpoints: Vec<PlatformEndpoint>,
     store: PlatformStore,
@@ -77,6 +88,7 @@
             entries,
             daemons: Vec::new(),
             links: Vec::new(),
+            caller_cuts: (0..entries).map(|_| watch::Sender::new(0)).collect(),
             endpoints: Vec::new(),
             store,
             run_log,
@@ -135,6 +147,12 @@
         (self.addresses[entry], CALLER_PORT).into()
     }
 
+    /// Waits until the connections of an entry's callers are cut.
+    pub(crate) async fn caller_cut(&self, entry: usize) {
+        // The sender lives as long as the cluster.
+        let _ = self.caller_cuts[entry].subscribe().changed().await;
+    }
+
     /// Returns the address at which an entry reports its readiness.
     pub(crate) fn readiness_address(&self, entry: usize) -> SocketAddr {
         (self.addresses[entry], READY_PORT).into()
@@ -210,9 +228,48 @@
             Fault::Publish => {
                 self.publish();
             }
+            Fault::CutOff(entry, connections) => {
+                self.caller_cuts[entry].send_modify(|cuts| *cuts += 1);
+                if connections == CutConnections::All {
+                    self.links[entry].reset_connections();
+                }
+            }
+            Fault::OtherWriter(agent, message) => self.send_odd_message(agent, message).await,
         }
     }
 
+    async fn send_odd_message(&self, agent: usize, message: OddMessage) {
+        let process = self.entries + agent;
+        let known_id = self.endpoints[agent].id();
+        let report = |id: &str, state: &str, born: u64| {
+            let report = json!({"id": id, "service": "elsewhere", "state": state, "sequence": 1,
+                "born": born, "capacity": {"cpu": 64_000, "memoryLimitMb": 65_536},
+                "labels": ["b", "r9"]});
+            report.to_string().into_bytes()
+        };
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let later = now.as_millis() as u64;
+        let (method, id, body) = match message {
+            OddMessage::LaterEndpoint => (Method::PUT, OTHER_ID, report(OTHER_ID, "ready", later)),
+            OddMessage::EarlierEndpoint => (Method::PUT, OTHER_ID, report(OTHER_ID, "draining", 1)),
+            OddMessage::LaterIncarnation => {
+                (Method::PUT, known_id.as_str(), report(&known_id, "ready", later))
+            }
+            OddMessage::Departure => (Method::DELETE, known_id.as_str(), Vec::new()),
+            OddMessage::Unreadable => (Method::PUT, OTHER_ID, vec![0xff; 20]),
+            OddMessage::SavedReport => {
+                let key = format!("agent-{process}");
+                let value = report(OTHER_ID, "ready", later);
+                return self.store.append_keyed(ENDPOINTS_TOPIC, &key, &value);
+            }
+        };
+        let address = SocketAddr::new(self.addresses[process], ANNOUNCEMENT_PORT);
+        let path = format!("/instances/{id}");
+        // The agent may be down.
+        let _ =
+            HttpClient::new(address).call(method, &path, &[], body.into(), MESSAGE_TIMEOUT).await;
+    }
+
     fn signal(&self, process: usize, signal: Signal) {
         self.daemon(process).signal(signal);
     }
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -39,6 +39,13 @@
 /// Value combined with the seed for the choice of long jobs.
 const LONG_SEED_SALT: u64 = 0x10c6;
 
+/// Value combined with the seed for the choice of jobs that their callers cancel.
+const CANCEL_SEED_SALT: u64 = 0xca5;
+/// Share of the jobs that their callers cancel.
+const CANCEL_SHARE: f64 = 0.06;
+/// Time from the first submission of a job to its cancellation, in milliseconds.
+const CANCEL_AFTER_MS: std::ops::Range<u64> = 10..900;
+
 /// Settings of the submitted jobs.
 pub(crate) struct LoadSettings {
     /// Average number of jobs submitted per second.
@@ -69,6 +76,10 @@
     pub(crate) tasks: u32,
     /// Whether the job runs for longer than the timeout of its route.
     pub(crate) is_long: bool,
+    /// Time from the first submission to the cancellation, if the caller cancels the job.
+    cancel_after: Option<Duration>,
+    /// Time at which an entry has confirmed the cancellation.
+    pub(crate) cancelled_at: Option<Instant>,
     pub(crate) attempts: Vec<Attempt>,
 }
 
@@ -116,6 +127,7 @@
     // Separate, so that the other choices of a seed do not depend on it.
     let mut deadly_rng = StdRng::seed_from_u64(seed ^ DEADLY_SEED_SALT);
     let mut long_rng = StdRng::seed_from_u64(seed ^ LONG_SEED_SALT);
+    let mut cancel_rng = StdRng::seed_from_u64(seed ^ CANCEL_SEED_SALT);
     let clients: Arc<Vec<HttpClient>> = Arc::new(
         (0..cluster.entries).map(|entry| HttpClient::new(cluster.caller_address(entry))).collect(),
     );
@@ -137,11 +149,16 @@
         } else {
             job_body(tasks, ms, cpu)
         };
-        let request = Request { id, tasks, is_long, attempts: Vec::new() };
-        let (clients, observations) = (clients.clone(), observations.clone());
+        let cancel_after = cancel_rng
+            .random_bool(CANCEL_SHARE)
+            .then(|| Duration::from_millis(cancel_rng.random_range(CANCEL_AFTER_MS)));
+        let (cancelled_at, attempts) = (None, Vec::new());
+        let request = Request { id, tasks, is_long, cancel_after, cancelled_at, attempts };
+        let (cluster, clients) = (cluster.clone(), clients.clone());
+        let observations = observations.clone();
         let first_entry = rng.random_range(0..cluster.entries);
         callers.spawn(async move {
-            let request = submit_with_retries(&clients, first_entry, request, body).await;
+            let request = submit_with_retries(&cluster, &clients, first_entry, request, body).await;
             observations
                 .requests
                 .lock()
@@ -154,6 +171,7 @@
 
 /// Submits a job, to the next entry in each attempt, until a reply other than 504 arrives.
 async fn submit_with_retries(
+    cluster: &Cluster,
     clients: &[HttpClient],
     first_entry: usize,
     mut request: Request,
@@ -166,19 +184,28 @@
     for attempt in 0..MAX_ATTEMPTS {
         let entry = (first_entry + attempt) % clients.len();
         let sent_at = Instant::now();
-        let reply = clients[entry].call(Method::POST, &path, &headers, body.clone(), timeout).await;
+        let submission = clients[entry].call(Method::POST, &path, &headers, body.clone(), timeout);
+        let cancellation = cancel(&clients[entry], &path, request.cancel_after.take());
+        let submission = async {
+            tokio::select! {
+                reply = submission => Some(reply),
+                () = cluster.caller_cut(entry) => None,
+            }
+        };
+        let (reply, cancelled_at) = tokio::join!(submission, cancellation);
+        request.cancelled_at = request.cancelled_at.or(cancelled_at);
         let outcome = match reply {
-            Ok(reply) => Outcome::Answered(reply.status, reply.body),
-            Err(HttpError::TimedOut { .. }) => Outcome::TimedOut,
-            Err(HttpError::ConnectionBroken { .. }) => Outcome::Broken,
-            Err(_) => Outcome::Unreachable,
+            Some(Ok(reply)) => Outcome::Answered(reply.status, reply.body),
+            Some(Err(HttpError::TimedOut { .. })) => Outcome::TimedOut,
+            None | Some(Err(HttpError::ConnectionBroken { .. })) => Outcome::Broken,
+            Some(Err(_)) => Outcome::Unreachable,
         };
         let must_retry = match &outcome {
             Outcome::Answered(status, _) => *status == StatusCode::GATEWAY_TIMEOUT,
             _ => true,
         };
         request.attempts.push(Attempt { entry, sent_at, ended_at: Instant::now(), outcome });
-        if !must_retry {
+        if !must_retry || request.cancelled_at.is_some() {
             break;
         }
         sleep(RETRY_PAUSE).await;
@@ -186,6 +213,15 @@
     request
 }
 
+/// Cancels a job after a time; returns when an entry has confirmed it.
+async fn cancel(client: &HttpClient, path: &str, after: Option<Duration>) -> Option<Instant> {
+    sleep(after?).await;
+    let headers = [("host", "desk.example")];
+    let call = client.call(Method::DELETE, path, &headers, Bytes::new(), REQUEST_TIMEOUT);
+    let reply = call.await.ok()?;
+    reply.status.is_success().then(Instant::now)
+}
+
 /// Probes an entry for the newest route found in force and for the next one, until aborted.
 pub(crate) async fn probe_routes(
     cluster: Arc<Cluster>,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -43,8 +43,42 @@
     DropHistory,
     /// Publishes a configuration with one more route.
     Publish,
+    /// Resets the connections of an entry: those of its callers, and those of agents and entries.
+    CutOff(usize, CutConnections),
+    /// Sends a message of another writer about the endpoint of an agent.
+    OtherWriter(usize, OddMessage),
 }
 
+/// The connections of an entry that are reset at once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CutConnections {
+    /// Those of callers.
+    Callers,
+    /// Those of callers, of agents and of other entries.
+    All,
+}
+
+/// A message that does not come from the endpoint that it seems to be about.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OddMessage {
+    /// A report of another endpoint that has started later than the agent's.
+    LaterEndpoint,
+    /// A report of another endpoint that has started earlier and is about to leave.
+    EarlierEndpoint,
+    /// A report of a later incarnation with the same id.
+    LaterIncarnation,
+    /// The departure of the endpoint, as an earlier incarnation may have announced it.
+    Departure,
+    /// Bytes that cannot be read.
+    Unreadable,
+    /// A report of another endpoint, saved in the store for the agent's next start.
+    SavedReport,
+}
+
+/// Value combined with the seed for the faults of connections and other writers, which are planned
+/// apart from the others so that these do not depend on them.
+const DISTURBANCE_SEED_SALT: u64 = 0xc07;
+
 /// A fault and the time at which it is injected.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ScheduledFault {
@@ -72,6 +106,14 @@
             faults.push(ScheduledFault { at, fault: random_fault(&mut rng, entries, agents) });
             at += Duration::from_millis(rng.random_range(20..MAX_GAP_MS));
         }
+        let mut rng = StdRng::seed_from_u64(seed ^ DISTURBANCE_SEED_SALT);
+        let mut at = WARM_UP;
+        while at < fault_period {
+            faults
+                .push(ScheduledFault { at, fault: random_disturbance(&mut rng, entries, agents) });
+            at += Duration::from_millis(rng.random_range(20..MAX_GAP_MS));
+        }
+        faults.sort_by_key(|scheduled| scheduled.at);
         Self { faults }
     }
 }
@@ -95,6 +137,20 @@
     }
 }
 
+fn random_disturbance(rng: &mut StdRng, entries: usize, agents: usize) -> Fault {
+    let (entry, agent) = (rng.random_range(0..entries), rng.random_range(0..agents));
+    match rng.random_range(0..9) {
+        0 => Fault::CutOff(entry, CutConnections::Callers),
+        1 | 2 => Fault::CutOff(entry, CutConnections::All),
+        3 => Fault::OtherWriter(agent, OddMessage::LaterEndpoint),
+        4 => Fault::OtherWriter(agent, OddMessage::EarlierEndpoint),
+        5 => Fault::OtherWriter(agent, OddMessage::LaterIncarnation),
+        6 => Fault::OtherWriter(agent, OddMessage::Departure),
+        7 => Fault::OtherWriter(agent, OddMessage::Unreadable),
+        _ => Fault::OtherWriter(agent, OddMessage::SavedReport),
+    }
+}
+
 fn random_link_behaviour(rng: &mut StdRng) -> LinkBehaviour {
     match rng.random_range(0..4) {
         0 => LinkBehaviour::Delayed(Duration::from_millis(rng.random_range(5..200))),
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -34,6 +34,8 @@
     /// Address that the proxy listens on.
     pub(crate) address: SocketAddr,
     behaviour: watch::Sender<LinkBehaviour>,
+    /// Number of times that the open connections were reset.
+    resets: watch::Sender<u64>,
 }
 
 impl Proxy {
@@ -42,8 +44,15 @@
         let listener = TcpListener::bind((ip, 0)).await?;
         let address = listener.local_addr()?;
         let behaviour = watch::Sender::new(LinkBehaviour::Normal);
-        tokio::spawn(accept(listener, address, target, behaviour.subscribe()));
-        Ok(Self { address, behaviour })
+        let resets = watch::Sender::new(0);
+        let (behaviours, later_resets) = (behaviour.subscribe(), resets.subscribe());
+        tokio::spawn(accept(listener, address, target, behaviours, later_resets));
+        Ok(Self { address, behaviour, resets })
+    }
+
+    /// Resets the open connections. New ones are accepted at once.
+    pub(crate) fn reset_connections(&self) {
+        self.resets.send_modify(|resets| *resets += 1);
     }
 
     /// Sets the behaviour of current and new connections.
@@ -58,12 +67,14 @@
     address: SocketAddr,
     target: SocketAddr,
     mut behaviour: watch::Receiver<LinkBehaviour>,
+    mut resets: watch::Receiver<u64>,
 ) -> std::io::Result<()> {
     loop {
         let connections = behaviour.clone();
         tokio::select! {
             accepted = listener.accept() => {
-                tokio::spawn(forward(accepted?.0, target, connections));
+                resets.mark_unchanged();
+                tokio::spawn(forward(accepted?.0, target, connections, resets.clone()));
                 continue;
             }
             refused = behaviour.wait_for(|behaviour| *behaviour == LinkBehaviour::Refused) => {
@@ -84,6 +95,7 @@
     inbound: TcpStream,
     target: SocketAddr,
     mut behaviour: watch::Receiver<LinkBehaviour>,
+    mut resets: watch::Receiver<u64>,
 ) {
     let Ok(outbound) = TcpStream::connect(target).await else {
         return;
@@ -98,6 +110,7 @@
         () = to_target => {}
         () = from_target => {}
         // Returning closes both connections.
+        _ = resets.changed() => {}
         _ = behaviour.wait_for(|behaviour| {
             matches!(behaviour, LinkBehaviour::Reset | LinkBehaviour::Refused)
         }) => {}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -171,7 +171,11 @@
         | Fault::Drain(_, duration)
         | Fault::Store(_, duration) => *duration,
         Fault::Stop(_) => MAX_STOP_TIME,
-        Fault::Hangup(_) | Fault::DropHistory | Fault::Publish => Duration::ZERO,
+        Fault::Hangup(_)
+        | Fault::DropHistory
+        | Fault::Publish
+        | Fault::CutOff(..)
+        | Fault::OtherWriter(..) => Duration::ZERO,
     }
 }
 
@@ -206,14 +210,18 @@
 
 /// Returns the planned stops of entries that no other fault overlaps or shortly precedes.
 ///
-/// `SIGHUP` and publications of a configuration may be close to such a stop.
+/// `SIGHUP`, publications of a configuration and messages of other writers may be close to such a
+/// stop.
 fn isolated_stops(plan: &FaultPlan, entries: usize, started_at: Instant) -> Vec<PlannedStop> {
     let is_isolated = |at: Duration| {
         let is_near = |other: &&ScheduledFault| {
             other.at != at
                 && other.at < at + MAX_STOP_TIME
                 && other.at + fault_duration(&other.fault) + STOP_MARGIN > at
-                && !matches!(other.fault, Fault::Hangup(_) | Fault::Publish)
+                && !matches!(
+                    other.fault,
+                    Fault::Hangup(_) | Fault::Publish | Fault::OtherWriter(..)
+                )
         };
         !plan.faults.iter().any(|other| is_near(&other))
     };
--- a/crates/standin/src/platform/endpoint.rs
+++ b/crates/standin/src/platform/endpoint.rs
@@ -60,6 +60,9 @@
     Unresponsive,
 }
 
+/// Number of successive incarnations with the same id.
+const INCARNATIONS_PER_ID: u64 = 2;
+
 struct Run {
     task: String,
     run_id: u64,
@@ -76,6 +79,8 @@
 struct State {
     /// Unix time of the start in milliseconds, raised if needed to exceed the previous incarnation.
     incarnation: u64,
+    /// Number of restarts so far.
+    restarts: u64,
     started_at: Instant,
     /// Highest fencing token received; requests with a lower one are refused.
     fencing_token: u64,
@@ -95,10 +100,11 @@
 }
 
 impl State {
-    fn new(previous_incarnation: u64) -> Self {
+    fn new(previous_incarnation: u64, restarts: u64) -> Self {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Self {
             incarnation: (now.as_millis() as u64).max(previous_incarnation + 1),
+            restarts,
             started_at: Instant::now(),
             fencing_token: 0,
             runs: Vec::new(),
@@ -120,6 +126,7 @@
 }
 
 struct Inner {
+    /// Id of the first incarnation, by which the run log names the endpoint.
     id: String,
     /// CPU capacity in thousandths of a core.
     cpu: u64,
@@ -158,7 +165,7 @@
             id: id.to_owned(),
             cpu,
             run_log,
-            state: Mutex::new(State::new(0)),
+            state: Mutex::new(State::new(0, 0)),
             run_ended: Notify::new(),
         });
         let server_inner = inner.clone();
@@ -181,8 +188,13 @@
         self.inner.state().draining = draining;
     }
 
+    /// Returns the id of the present incarnation.
+    pub fn id(&self) -> String {
+        self.inner.id_of(&self.inner.state())
+    }
+
     /// Simulates a crash and a restart: all runs end and the endpoint starts with an empty state
-    /// under a new incarnation.
+    /// under a new incarnation. Each second incarnation has another id than the one before it.
     pub fn restart(&self) {
         let mut state = self.inner.state();
         self.inner.crash(&mut state);
@@ -194,11 +206,18 @@
         self.state.lock().expect("the mutex of the endpoint is never poisoned")
     }
 
+    fn id_of(&self, state: &State) -> String {
+        match state.restarts / INCARNATIONS_PER_ID {
+            0 => self.id.clone(),
+            number => format!("{}-{number}", self.id),
+        }
+    }
+
     fn crash(&self, state: &mut State) {
         for run in std::mem::take(&mut state.runs) {
             self.run_log.record(&self.id, &run.task, run.run_id, Some("crashed"));
         }
-        *state = State::new(state.incarnation);
+        *state = State::new(state.incarnation, state.restarts + 1);
     }
 
     /// Advances the runs and ends those that are done, have failed or whose lease has expired.
@@ -260,23 +279,24 @@
     }
 
     async fn announce_once(&self, service: &str, agent: SocketAddr) -> Option<()> {
-        let body = {
+        let (id, body) = {
             let mut state = self.state();
             state.announcement_number += 1;
-            json!({
+            let body = json!({
                 "service": service, "address": "127.0.0.1:1", "zone": "z", "version": "v1",
                 "slots": 8, "state": if state.draining { "draining" } else { "ready" },
                 "coldRemainingMs": 0, "labels": ["a", "r1"], "clockMs": state.clock_ms(),
                 "capacity": {"cpu": self.cpu, "memoryLimitMb": 65536, "gpus": 0},
                 "sequence": state.announcement_number, "born": state.incarnation,
-            })
+            });
+            (self.id_of(&state), body)
         };
         let stream = TcpStream::connect(agent).await.ok()?;
         let (mut sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
         let connection_task = tokio::spawn(connection);
         let req = Request::builder()
             .method(Method::PUT)
-            .uri(format!("/instances/{}", self.id))
+            .uri(format!("/instances/{id}"))
             .header("host", agent.to_string())
             .body(Full::new(Bytes::from(body.to_string())))
             .ok()?;
@@ -322,6 +342,10 @@
     }
 
     async fn execute(&self, req: &BufferedRequest) -> Reply {
+        let is_other = |id: &String| *id != self.id_of(&self.state());
+        if req.expected_id.as_ref().is_some_and(is_other) {
+            return Some((StatusCode::MISDIRECTED_REQUEST, clock_reply(&self.state()).1));
+        }
         let body: Value = serde_json::from_slice(&req.body).unwrap_or_default();
         match req.path.as_str() {
             "/run-start" => Some(self.start(&body)),
--- a/crates/standin/src/platform/http.rs
+++ b/crates/standin/src/platform/http.rs
@@ -17,6 +17,8 @@
     pub(super) method: Method,
     pub(super) path: String,
     pub(super) query: Vec<(String, String)>,
+    /// Id of the endpoint that a call is addressed to, if it names one.
+    pub(super) expected_id: Option<String>,
     pub(super) body: Bytes,
 }
 
@@ -65,10 +67,12 @@
     let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
     let query = parts.uri.query().unwrap_or_default().split('&');
     let params = query.filter_map(|pair| pair.split_once('='));
+    let expected_id = parts.headers.get("expected-instance").and_then(|id| id.to_str().ok());
     let buffered = BufferedRequest {
         method: parts.method,
         path: parts.uri.path().to_owned(),
         query: params.map(|(name, value)| (name.to_owned(), value.to_owned())).collect(),
+        expected_id: expected_id.map(str::to_owned),
         body,
     };
     match handle(buffered).await {
--- a/crates/standin/src/platform/run_log.rs
+++ b/crates/standin/src/platform/run_log.rs
@@ -8,7 +8,7 @@
 pub struct RunEvent {
     /// Time at which the endpoint recorded the event.
     pub at: Instant,
-    /// Id under which the endpoint announces itself.
+    /// Id of the endpoint's first incarnation.
     pub endpoint: String,
     /// Name of the task, as `REQUEST.OCCURRENCE.STEP.INDEX`. The occurrence is 0 for a job that
     /// runs once, as all jobs of the tests do.
