Start tasks only at an incarnation with the label that they require

Cause: only the entry compared the label, with the status of the incarnation that it knew. An order did not carry the label, and neither a queued task nor an order on its way was compared with the incarnation that was there when it started.

Orders now carry the required label. The agent returns queued tasks whose label the next incarnation lacks, and refuses such orders; the entry places the tasks elsewhere. A start that is sent before the agent can know of the restart, under the same id, is still carried out.

--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -274,7 +274,9 @@
             || self.has_left
             || self.held.contains(&name)
             || self.endpoint.as_ref().is_none_or(|endpoint| {
-                endpoint.draining || !endpoint.capacity.can_fit(order.resources)
+                endpoint.draining
+                    || !endpoint.capacity.can_fit(order.resources)
+                    || !endpoint.has_label(order.required_label.as_deref())
             })
             || !self.has_lease(now, &entry);
         if is_refused {
--- a/crates/dispatch/src/executor/held_task.rs
+++ b/crates/dispatch/src/executor/held_task.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use compact_str::CompactString;
+
 use crate::id::{EntryId, TaskName, TaskRun};
 use crate::resources::Resources;
 use crate::samples::EndpointCondition;
@@ -66,6 +68,8 @@
     /// Time by which the task must end for the answer to reach the caller in time.
     caller_deadline: Duration,
     pub(super) max_per_endpoint: u32,
+    /// Label that the endpoint must have as its kind or its rack.
+    pub(super) required_label: Option<CompactString>,
     /// Priority of the queue; 0 is the most urgent.
     pub(super) priority: u32,
     pub(super) phase: Phase,
@@ -103,6 +107,7 @@
             abandon_at: now + order.abandon_after,
             caller_deadline: now + order.end_within,
             max_per_endpoint: order.max_per_endpoint,
+            required_label: order.required_label,
             priority: order.priority,
             phase: Phase::Queued,
             started_at: now,
--- a/crates/dispatch/src/executor/incarnation.rs
+++ b/crates/dispatch/src/executor/incarnation.rs
@@ -67,6 +67,12 @@
 
     fn use_report(&mut self, report: EndpointReport) {
         let draining = report.draining;
+        let is_unsuited = |held: &HeldTask| {
+            held.phase == Phase::Queued && !report.has_label(held.required_label.as_deref())
+        };
+        for name in self.tasks_where(is_unsuited) {
+            self.remove_and_report(&name, RunStatus::NotStarted);
+        }
         self.endpoint = Some(report);
         if draining {
             self.return_queued();
--- a/crates/dispatch/src/executor/report.rs
+++ b/crates/dispatch/src/executor/report.rs
@@ -37,6 +37,11 @@
         self.id == other.id && self.incarnation == other.incarnation
     }
 
+    /// Returns whether the endpoint has a label as its kind or its rack; `true` for no label.
+    pub fn has_label(&self, label: Option<&str>) -> bool {
+        label.is_none_or(|label| self.kind == label || self.rack == label)
+    }
+
     /// Returns whether an agent that restarts must learn of the change between two reports.
     pub fn differs_from(&self, other: &Self) -> bool {
         !self.is_same_incarnation(other)
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -333,6 +333,7 @@
             end_within: caller_time_left,
             max_per_endpoint,
             priority: spec.terms.priority,
+            required_label: step.required_label.clone(),
         };
         let Some(endpoint) = self.endpoints.get_mut(&selected.agent) else {
             return;
--- a/crates/dispatch/src/scheduler/message.rs
+++ b/crates/dispatch/src/scheduler/message.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use compact_str::CompactString;
+
 use crate::crash_log::CrashRecord;
 use crate::id::{AgentId, RequestId, TaskRun};
 use crate::job::Answer;
@@ -79,6 +81,8 @@
     pub max_per_endpoint: u32,
     /// Priority of the queue; 0 is the most urgent.
     pub priority: u32,
+    /// Label that the endpoint must have as its kind or its rack when the task starts.
+    pub required_label: Option<CompactString>,
 }
 
 /// An action that the entry must carry out.
--- a/crates/dispatch/tests/testsuite/executor.rs
+++ b/crates/dispatch/tests/testsuite/executor.rs
@@ -66,6 +66,7 @@
         end_within: ms(1400),
         max_per_endpoint: 0,
         priority: 0,
+        required_label: None,
     };
     ReceivedOrder { entry: entry(), order }
 }
--- a/crates/dispatch/tests/testsuite/executor/incarnations.rs
+++ b/crates/dispatch/tests/testsuite/executor/incarnations.rs
@@ -388,3 +388,46 @@
     assert!(executor.status(START + ms(40)).usable);
     assert_eq!(executor.confirmed_report(), Some(&report(3)));
 }
+
+/// Guards against a task that waits at the agent and starts on the next incarnation of the endpoint,
+/// which lacks the label that the task requires. An order may also arrive after that incarnation has
+/// replaced the one that its entry knows.
+#[test]
+fn tasks_start_only_at_an_incarnation_with_their_required_label() {
+    struct Case {
+        kind: &'static str,
+        rack: &'static str,
+        starts: bool,
+    }
+    let cases = [
+        Case { kind: "b", rack: "r1", starts: false },
+        Case { kind: "a", rack: "r2", starts: true },
+        Case { kind: "b", rack: "a", starts: true },
+    ];
+    let labelled = |index| {
+        let mut received = order(index, 4000, ms(500));
+        received.order.required_label = Some("a".into());
+        received
+    };
+    for case in cases {
+        let mut executor = executor();
+        executor.on_order(START, order(0, 4000, ms(500)));
+        executor.on_start_reply(START, &run(0), StartOutcome::Started);
+        executor.on_order(START, labelled(1));
+        executor.take_actions();
+        let at = START + ms(20);
+        executor.on_listing(at, &Listing { incarnation: 8, ..listing(at) });
+        let (kind, rack) = (case.kind.into(), case.rack.into());
+        executor.on_report(at, EndpointReport { incarnation: 8, kind, rack, ..report(1) });
+        executor.on_order(at, labelled(2));
+        let actions = executor.take_actions();
+        let lost = (run(0), RunStatus::Crashed(CrashRole::Suspect));
+        if case.starts {
+            assert_eq!((reported(&actions), starts(&actions)), (vec![lost], vec![run(1)]));
+        } else {
+            let returned = |index| (run(index), RunStatus::NotStarted);
+            assert_eq!(reported(&actions), [lost, returned(1), returned(2)]);
+            assert!(starts(&actions).is_empty());
+        }
+    }
+}
--- a/crates/dispatch/tests/testsuite/fleet.rs
+++ b/crates/dispatch/tests/testsuite/fleet.rs
@@ -388,6 +388,7 @@
             end_within: ms(1400),
             max_per_endpoint: 0,
             priority: 0,
+            required_label: None,
         };
         self.hosts[host].executor.on_order(self.now, ReceivedOrder { entry: entry(0), order });
         self.exchange();
--- a/crates/dispatch/tests/testsuite/simulation.rs
+++ b/crates/dispatch/tests/testsuite/simulation.rs
@@ -307,6 +307,7 @@
             end_within: ms(1400),
             max_per_endpoint: 0,
             priority: 0,
+            required_label: None,
         };
         self.executor.on_order(self.now, ReceivedOrder { entry: entry(), order });
     }
--- a/crates/node/src/convert.rs
+++ b/crates/node/src/convert.rs
@@ -46,6 +46,7 @@
         most_here: order.max_per_endpoint,
         priority: order.priority,
         same_work: false,
+        required_label: order.required_label.as_deref().unwrap_or_default().to_owned(),
     }
 }
 
@@ -88,6 +89,8 @@
         end_within: from_millis32(wire.end_within_ms),
         max_per_endpoint: wire.most_here,
         priority: wire.priority,
+        required_label: (!wire.required_label.is_empty())
+            .then(|| wire.required_label.as_str().into()),
     })
 }
 
--- a/crates/node/src/convert/tests.rs
+++ b/crates/node/src/convert/tests.rs
@@ -24,6 +24,7 @@
         end_within: Duration::from_millis(1400),
         max_per_endpoint: 0,
         priority: 2,
+        required_label: None,
     }
 }
 
