Answer copies of a request with the answer of its job

The permission to run again holds only after no response, a broken connection, 502 or 504.

Cause: an entry forgot a job with its answer, and took any id that is not open for that of a new job.

An entry now remembers for half a minute the jobs that were completed, failed or cancelled, and answers a copy at once with the same answer. Refused and given-up jobs are not remembered, since their callers send them again on purpose, and neither are jobs whose callers have left. The memory is bounded: seven generations of 8,192 answers. A request to cancel that is sent again, because its reply was lost, is confirmed again.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 mod attachment;
 mod connection_budget;
 mod crash_log;
+mod ended_jobs;
 mod evacuation;
 mod executor;
 mod id;
@@ -38,6 +39,7 @@
 pub use attachment::{KnownEntry, MAX_ENTRIES_PER_AGENT, select_entries};
 pub use connection_budget::{ConnectionBudget, ConnectionDecision, ConnectionLoad};
 pub use crash_log::{CrashCount, CrashLog, CrashRecord};
+pub use ended_jobs::EndedJobs;
 pub use evacuation::{
     EvacuationFeed, EvacuationNotice, EvacuationNotices, EvacuationState, EvacuationVersion,
     Evacuations, FullEvacuationRead,
--- a/crates/dispatch/tests/testsuite/main.rs
+++ b/crates/dispatch/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod crash_records;
 mod crashes;
 mod deferral;
+mod ended_jobs;
 mod evacuation;
 mod executor;
 mod fleet;
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -100,7 +100,9 @@
         CallerRequest::GetState(_) => Reply::unknown_job(),
         CallerRequest::Cancel(id) => {
             let was_open = shared.with_scheduler(|scheduler, _| scheduler.cancel(&id));
-            if was_open { Reply::cancelled() } else { Reply::unknown_job() }
+            // The reply to an earlier request may have been lost.
+            let is_cancelled = was_open || shared.answer_of_ended(&id) == Some(Answer::Cancelled);
+            if is_cancelled { Reply::cancelled() } else { Reply::unknown_job() }
         }
         CallerRequest::CountPending(queue) => {
             Reply::pending(shared.scheduler().unstarted_jobs(&queue))
@@ -125,6 +127,11 @@
 
 async fn submit(shared: &Arc<Shared>, spec: JobSpec, arrived_at: Duration) -> Reply {
     let id = spec.id.clone();
+    if let Some(answer) = shared.answer_of_ended(&id) {
+        shared.metrics.count("request_copy");
+        log::info!("entry: event=copy-answered job={id} answer={answer:?}");
+        return encode_answer(&answer);
+    }
     let queue = spec.queue.clone();
     let version = shared.route_table().version();
     let (rx, is_new) = shared.register_waiter(&id);
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use cowslipwing_dispatch::{
-    Action, AgentId, Answer, Decision, EndpointReport, EntryId, EvacuationNotices, Evacuations,
-    ReportMemory, RequestId, RouteTable, Scheduler, SchedulerSettings,
+    Action, AgentId, Answer, Decision, EndedJobs, EndpointReport, EntryId, EvacuationNotices,
+    Evacuations, ReportMemory, RequestId, RouteTable, Scheduler, SchedulerSettings,
 };
 use cowslipwing_platform::{StoreClient, decode_config};
 use cowslipwing_proto::EntryFrame;
@@ -76,6 +76,8 @@
     /// request.
     waiters: Mutex<SortedMap<RequestId, Vec<oneshot::Sender<Answer>>>>,
     active_config: Mutex<ActiveConfig>,
+    /// Answers of ended jobs, for copies of their requests.
+    ended_jobs: Mutex<EndedJobs>,
     /// Endpoint reports to return to agents that restart.
     endpoint_reports: Mutex<ReportMemory>,
 }
@@ -119,6 +121,7 @@
             streams: Mutex::default(),
             waiters: Mutex::default(),
             active_config: Mutex::default(),
+            ended_jobs: Mutex::default(),
             endpoint_reports: Mutex::default(),
         }
     }
@@ -239,7 +242,13 @@
         log::info!("entry: {decision}");
     }
 
+    /// Returns the answer to a job that has ended recently.
+    pub(super) fn answer_of_ended(&self, id: &RequestId) -> Option<Answer> {
+        lock(&self.ended_jobs).get(id)
+    }
+
     fn send_answer(&self, id: &RequestId, answer: Answer) {
+        lock(&self.ended_jobs).insert(self.now(), id, answer);
         for waiter in lock(&self.waiters).remove(id).into_iter().flatten() {
             // The receiver is gone if the caller has disconnected.
             let _ = waiter.send(answer);
