Cancel a job also if the request arrives at another entry

Cause: an entry looked for the job among its own ones only.

An entry that does not know a job now asks all other entries before it answers that there is none, and an entry that has cancelled a job tells the others within 0.25 s, so that a late copy of the request does not run there either.

a_job_is_cancelled_at_any_entry_and_does_not_run_again fails on the commit before: a copy of the request at the other entry runs the job.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod evacuation;
 mod follow;
+mod peer_cancels;
 mod shared;
 mod streams;
 
@@ -75,6 +76,7 @@
             follow::follow_configuration(shared.clone()).boxed(),
             follow::announce_and_follow_entries(shared.clone()).boxed(),
             follow::poll_peers(shared.clone()).boxed(),
+            peer_cancels::send_notices(shared.clone()).boxed(),
             evacuation::check_sites(shared.clone()).boxed(),
             tick(shared.clone()).boxed(),
         ];
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use tracing::{Instrument, info_span};
 
+use super::peer_cancels::cancel_at_peers;
 use super::shared::Shared;
 use crate::http::{self, Body, Stage};
 
@@ -99,10 +100,11 @@
         CallerRequest::GetState(id) if shared.scheduler().is_open(&id) => Reply::running(),
         CallerRequest::GetState(_) => Reply::unknown_job(),
         CallerRequest::Cancel(id) => {
-            let was_open = shared.with_scheduler(|scheduler, _| scheduler.cancel(&id));
-            // The reply to an earlier request may have been lost.
-            let is_cancelled = was_open || shared.answer_of_ended(&id) == Some(Answer::Cancelled);
-            if is_cancelled { Reply::cancelled() } else { Reply::unknown_job() }
+            if cancel(shared, &id).await {
+                Reply::cancelled()
+            } else {
+                Reply::unknown_job()
+            }
         }
         CallerRequest::CountPending(queue) => {
             Reply::pending(shared.scheduler().unstarted_jobs(&queue))
@@ -110,6 +112,25 @@
     }
 }
 
+/// Cancels a job, here or at another entry; returns whether an entry knows it as open or cancelled.
+async fn cancel(shared: &Shared, id: &RequestId) -> bool {
+    // The reply to an earlier request of the caller may have been lost.
+    let ended = shared.answer_of_ended(id);
+    if shared.cancel(id) {
+        shared.cancel_notices.add(id.clone());
+        return true;
+    }
+    match ended {
+        Some(answer) => answer == Answer::Cancelled,
+        None => {
+            let is_found = cancel_at_peers(shared, std::slice::from_ref(id)).await;
+            shared.metrics.count("cancel_passed_on");
+            log::info!("entry: event=cancel-passed-on job={id} found={is_found}");
+            is_found
+        }
+    }
+}
+
 /// A guard that reports a disconnected caller if the request is dropped before the answer. The job
 /// is cancelled if no other caller waits for it.
 struct CancelOnDisconnect {
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -16,6 +16,7 @@
 use cowslipwing_types::{Clock, SortedMap, to_millis};
 use tokio::sync::{mpsc, oneshot, watch};
 
+use super::peer_cancels::CancelNotices;
 use crate::convert::{
     crash_to_proto, crashes_to_proto, order_to_proto, report_to_proto, share_payloads,
 };
@@ -76,6 +77,8 @@
     /// request.
     waiters: Mutex<SortedMap<RequestId, Vec<oneshot::Sender<Answer>>>>,
     active_config: Mutex<ActiveConfig>,
+    /// Cancelled jobs of which the other entries have not been told.
+    pub(super) cancel_notices: CancelNotices,
     /// Answers of ended jobs, for copies of their requests.
     ended_jobs: Mutex<EndedJobs>,
     /// Endpoint reports to return to agents that restart.
@@ -121,6 +124,7 @@
             streams: Mutex::default(),
             waiters: Mutex::default(),
             active_config: Mutex::default(),
+            cancel_notices: CancelNotices::default(),
             ended_jobs: Mutex::default(),
             endpoint_reports: Mutex::default(),
         }
@@ -242,6 +246,17 @@
         log::info!("entry: {decision}");
     }
 
+    /// Cancels a job if it is open, and remembers that it was cancelled unless it has ended otherwise.
+    /// Returns whether it was open.
+    pub(super) fn cancel(&self, id: &RequestId) -> bool {
+        let was_open = self.with_scheduler(|scheduler, _| scheduler.cancel(id));
+        let mut ended_jobs = lock(&self.ended_jobs);
+        if ended_jobs.get(id).is_none() {
+            ended_jobs.insert(self.now(), id, Answer::Cancelled);
+        }
+        was_open
+    }
+
     /// Returns the answer to a job that has ended recently.
     pub(super) fn answer_of_ended(&self, id: &RequestId) -> Option<Answer> {
         lock(&self.ended_jobs).get(id)
--- a/crates/node/src/entry/streams.rs
+++ b/crates/node/src/entry/streams.rs
@@ -5,9 +5,11 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use cowslipwing_dispatch::{AgentId, EvacuationFeed, TaskRun};
+use cowslipwing_dispatch::{AgentId, Answer, EvacuationFeed, RequestId, TaskRun};
 use cowslipwing_proto::dispatch_server::{Dispatch, DispatchServer};
-use cowslipwing_proto::{AgentFrame, AgentHello, EntryFrame, ExchangeReply, ExchangeRequest};
+use cowslipwing_proto::{
+    AgentFrame, AgentHello, CancelReply, CancelRequest, EntryFrame, ExchangeReply, ExchangeRequest,
+};
 use futures::{Stream as FutureStream, StreamExt};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -73,6 +75,16 @@
         let evacuations = self.shared.evacuation_states();
         Ok(Response::new(ExchangeReply { config: config.to_vec(), entries, evacuations }))
     }
+
+    async fn cancel(&self, req: Request<CancelRequest>) -> Result<Response<CancelReply>, Status> {
+        let jobs = req.into_inner().jobs;
+        let mut found = false;
+        for id in jobs.iter().filter_map(|id| id.parse::<RequestId>().ok()) {
+            let is_cancelled = self.shared.answer_of_ended(&id) == Some(Answer::Cancelled);
+            found |= self.shared.cancel(&id) || is_cancelled;
+        }
+        Ok(Response::new(CancelReply { found }))
+    }
 }
 
 /// Handles an agent's frames until its stream ends or no frame arrives within `STREAM_TIMEOUT`.
