--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -43,6 +43,8 @@
 const CANCEL_SEED_SALT: u64 = 0xca5;
 /// Share of the jobs that their callers cancel.
 const CANCEL_SHARE: f64 = 0.06;
+/// Share of the cancellations that go to another entry than the job.
+const CANCEL_ELSEWHERE_SHARE: f64 = 0.5;
 /// Time from the first submission of a job to its cancellation, in milliseconds.
 const CANCEL_AFTER_MS: std::ops::Range<u64> = 10..900;
 
@@ -76,8 +78,9 @@
     pub(crate) tasks: u32,
     /// Whether the job runs for longer than the timeout of its route.
     pub(crate) is_long: bool,
-    /// Time from the first submission to the cancellation, if the caller cancels the job.
-    cancel_after: Option<Duration>,
+    /// Time from the first submission to the cancellation, if the caller cancels the job, and whether
+    /// the cancellation goes to the next entry.
+    cancel_after: Option<(Duration, bool)>,
     /// Time at which an entry has confirmed the cancellation.
     pub(crate) cancelled_at: Option<Instant>,
     pub(crate) attempts: Vec<Attempt>,
@@ -151,7 +154,8 @@
         };
         let cancel_after = cancel_rng
             .random_bool(CANCEL_SHARE)
-            .then(|| Duration::from_millis(cancel_rng.random_range(CANCEL_AFTER_MS)));
+            .then(|| Duration::from_millis(cancel_rng.random_range(CANCEL_AFTER_MS)))
+            .map(|after| (after, cancel_rng.random_bool(CANCEL_ELSEWHERE_SHARE)));
         let (cancelled_at, attempts) = (None, Vec::new());
         let request = Request { id, tasks, is_long, cancel_after, cancelled_at, attempts };
         let (cluster, clients) = (cluster.clone(), clients.clone());
@@ -185,7 +189,7 @@
         let entry = (first_entry + attempt) % clients.len();
         let sent_at = Instant::now();
         let submission = clients[entry].call(Method::POST, &path, &headers, body.clone(), timeout);
-        let cancellation = cancel(&clients[entry], &path, request.cancel_after.take());
+        let cancellation = cancel(clients, entry, &path, request.cancel_after.take());
         let submission = async {
             tokio::select! {
                 reply = submission => Some(reply),
@@ -214,8 +218,15 @@
 }
 
 /// Cancels a job after a time; returns when an entry has confirmed it.
-async fn cancel(client: &HttpClient, path: &str, after: Option<Duration>) -> Option<Instant> {
-    sleep(after?).await;
+async fn cancel(
+    clients: &[HttpClient],
+    entry: usize,
+    path: &str,
+    cancel_after: Option<(Duration, bool)>,
+) -> Option<Instant> {
+    let (after, is_elsewhere) = cancel_after?;
+    sleep(after).await;
+    let client = &clients[(entry + usize::from(is_elsewhere)) % clients.len()];
     let headers = [("host", "desk.example")];
     let call = client.call(Method::DELETE, path, &headers, Bytes::new(), REQUEST_TIMEOUT);
     let reply = call.await.ok()?;
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -14,7 +14,7 @@
     past_failure: &'static str,
 }
 
-const CASES: [Case; 3] = [
+const CASES: [Case; 5] = [
     Case {
         seed: 1,
         seconds: 8,
@@ -30,6 +30,16 @@
         seconds: 8,
         past_failure: "a task crashed the same endpoint in each attempt of its caller",
     },
+    Case {
+        seed: 5001,
+        seconds: 8,
+        past_failure: "a foreign report ended the run of a sound endpoint, which went on",
+    },
+    Case {
+        seed: 5007,
+        seconds: 8,
+        past_failure: "a cancellation was lost with its stream, and the run went on beside the next",
+    },
 ];
 
 /// Second byte of the loopback addresses of the first case.
