Drop task events only while the entry has no stream

The limit of 1,024 pending events, which bounds the memory for entries that do not come back, also applied while the stream was open: an agent that returns more tasks of large jobs at once would not have reported the rest, and the entry would have waited for them until its callers' deadlines. Found by reading the change; the test fails before.

--- a/crates/dispatch/src/outbox.rs
+++ b/crates/dispatch/src/outbox.rs
@@ -10,7 +10,8 @@
 
 use crate::scheduler::{RunStatus, TaskEvent};
 
-/// Maximum number of events kept for an entry without a stream; later ones are dropped.
+/// Number of pending events from which further ones are dropped while the entry has no stream. It
+/// bounds the memory for entries that do not come back.
 const MAX_PENDING: usize = 1024;
 
 /// The events for one entry.
@@ -36,6 +37,8 @@
 pub struct Outbox {
     /// Events to send with the next frame.
     pending: Vec<TaskEvent>,
+    /// Whether events have been sent on a stream that is not known to have ended.
+    has_stream: bool,
     /// Events sent on the present stream, each with the agent's time in its frame, oldest first.
     unconfirmed: VecDeque<(Duration, TaskEvent)>,
 }
@@ -43,7 +46,7 @@
 impl Outbox {
     /// Adds an event to be sent.
     pub fn push(&mut self, event: TaskEvent) {
-        if self.pending.len() < MAX_PENDING {
+        if self.has_stream || self.pending.len() < MAX_PENDING {
             self.pending.push(event);
         }
     }
@@ -60,6 +63,7 @@
 
     /// Returns the events for a frame that states the agent's time `sent_at`.
     pub fn take_pending(&mut self, sent_at: Duration) -> Vec<TaskEvent> {
+        self.has_stream = true;
         let events = std::mem::take(&mut self.pending);
         let ends = events.iter().filter(|event| ends_run(event)).cloned();
         self.unconfirmed.extend(ends.map(|event| (sent_at, event)));
@@ -78,6 +82,7 @@
     /// Handles the end of the stream: the events that it may have lost are sent again on the next
     /// one. Reports on the progress of runs are dropped, since later ones follow.
     pub fn on_stream_closed(&mut self) {
+        self.has_stream = false;
         let later = std::mem::take(&mut self.pending);
         let unconfirmed = self.unconfirmed.drain(..).map(|(_, event)| event);
         self.pending = unconfirmed.chain(later.into_iter().filter(ends_run)).collect();
--- a/crates/dispatch/tests/testsuite/outbox.rs
+++ b/crates/dispatch/tests/testsuite/outbox.rs
@@ -62,3 +62,26 @@
     outbox.on_stream_closed();
     assert!(outbox.is_empty());
 }
+
+/// Guards against returned tasks of large jobs of which the entry does not hear, and against memory that
+/// grows for an entry that does not come back.
+#[test]
+fn events_are_dropped_only_without_a_stream() {
+    let mut outbox = Outbox::default();
+    outbox.take_pending(ms(10));
+    for index in 0..3000 {
+        outbox.push(event(index, RunStatus::NotStarted));
+    }
+    assert_eq!(outbox.take_pending(ms(20)).len(), 3000);
+    outbox.on_stream_closed();
+    for index in 3000..9000 {
+        outbox.push(event(index, RunStatus::NotStarted));
+    }
+    assert_eq!(outbox.take_pending(ms(30)).len(), 3000);
+    outbox.on_heard(ms(31));
+    outbox.on_stream_closed();
+    for index in 0..3000 {
+        outbox.push(event(index, RunStatus::NotStarted));
+    }
+    assert_eq!(outbox.take_pending(ms(40)).len(), 1024);
+}
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -347,10 +347,12 @@
         let Some(stream) = stream.filter(|stream| stream.tx.same_channel(tx)) else {
             return;
         };
-        if let Some(outbox) = self.outboxes.get_mut(entry) {
-            outbox.on_stream_closed();
-        }
+        let outbox = self.outboxes.get_or_insert_with(entry.clone(), Outbox::default);
+        outbox.on_stream_closed();
         if stream.retiring_since.is_some() && !self.executor.holds_tasks_of(entry) {
+            if outbox.is_empty() {
+                self.outboxes.remove(entry);
+            }
             self.streams.remove(entry);
             return;
         }
