Count a job as open until the ends of its runs are confirmed

A caller whose connection breaks may send its job again at once. The entry had forgotten the job with its cancellation, so that the task was placed while the first run was still being stopped: two runs of one task for the time of the stop.

The entry now remembers the cancelled runs of an ended job until their agents report the ends, attach without them or are replaced, or until the leases have ended them, 1.1 s after the end of the job. A request for the job in that time is answered like one for an open job: 504, with a time to come back.

The test fails before: the second submission is placed at once.

--- a/crates/dispatch/src/outbox.rs
+++ b/crates/dispatch/src/outbox.rs
@@ -8,7 +8,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::scheduler::{RunStatus, TaskEvent};
+use crate::scheduler::TaskEvent;
 
 /// Number of pending events from which further ones are dropped while the entry has no stream. It
 /// bounds the memory for entries that do not come back.
@@ -90,5 +90,5 @@
 }
 
 fn ends_run(event: &TaskEvent) -> bool {
-    !matches!(event.status, RunStatus::Slow(_) | RunStatus::Overrun(_))
+    event.status.ends_run()
 }
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod decision;
 mod deferral;
+mod ending_runs;
 mod endpoint;
 mod evacuation;
 mod events;
@@ -33,6 +34,7 @@
 use admission::AdmissionRefusal;
 use containment::Containment;
 use deferral::{DeferredJob, WarmUp};
+use ending_runs::EndingRuns;
 use endpoint::Endpoint;
 use locality::NearWaits;
 use overload::Overload;
@@ -83,6 +85,8 @@
     site: CompactString,
     endpoints: SortedMap<AgentId, Endpoint>,
     jobs: SortedMap<RequestId, Job>,
+    /// Runs of ended jobs that may go on.
+    ending_runs: EndingRuns,
     /// Jobs that wait for the first endpoints, oldest first.
     deferred: Vec<DeferredJob>,
     warm_up: WarmUp,
@@ -107,6 +111,7 @@
             site: CompactString::default(),
             endpoints: SortedMap::new(),
             jobs: SortedMap::new(),
+            ending_runs: EndingRuns::default(),
             deferred: Vec::new(),
             warm_up: WarmUp::default(),
             predictor: Predictor::default(),
@@ -160,7 +165,7 @@
     pub fn submit(&mut self, now: Duration, spec: JobSpec) {
         let id = spec.id.clone();
         self.warm_up.on_event(now);
-        if self.is_open(&id) {
+        if self.is_open(&id) || self.ending_runs.contains(&id) {
             let retry_after = self.settings.entry_lease;
             let reason = GiveUpReason::StillOpen;
             self.actions.push(Action::Answer(id, Answer::GaveUp { reason, retry_after }));
@@ -379,12 +384,17 @@
             return;
         };
         self.drop_near_waits(&mut job);
+        let mut ending = Vec::new();
         for task in &job.tasks {
-            if let TaskState::Sent { agent, cancelled: false, .. } = &task.state {
+            if let TaskState::Sent { agent, cancelled, .. } = &task.state {
                 let run = TaskRun { task: task.name.clone(), number: task.last_run };
-                self.actions.push(Action::Cancel(agent.clone(), run));
+                ending.push((agent.clone(), run.clone()));
+                if !cancelled {
+                    self.actions.push(Action::Cancel(agent.clone(), run));
+                }
             }
         }
+        self.ending_runs.add(id, ending);
         if let Some(answer) = answer {
             self.actions.push(Action::Answer(id.clone(), answer));
         }
@@ -448,6 +458,7 @@
                 self.on_task_event(now, &agent, &TaskEvent { run, status: RunStatus::Stopped });
             }
         }
+        self.ending_runs.expire(now, lease_bound);
         self.sample_usage(now);
         self.expire_withdrawals(now);
         let is_timed_out = |job: &Job| now >= job.deadline;
--- a/crates/dispatch/src/scheduler/agents.rs
+++ b/crates/dispatch/src/scheduler/agents.rs
@@ -46,6 +46,7 @@
             self.actions.push(Action::Record(decision));
             self.actions.push(Action::Cancel(agent, run));
         }
+        self.ending_runs.retain_at(agent, |run| held.contains(run));
         let unreceived = self.runs_sent_to(agent, |run| !held.contains(run));
         for run in unreceived {
             self.on_task_event(now, agent, &TaskEvent { run, status: RunStatus::Stopped });
@@ -99,6 +100,7 @@
         for run in self.runs_sent_to(agent, |_| true) {
             self.on_task_event(now, agent, &TaskEvent { run, status: RunStatus::Stopped });
         }
+        self.ending_runs.retain_at(agent, |_| false);
         self.endpoints.remove(agent);
     }
 
--- a/crates/dispatch/src/scheduler/events.rs
+++ b/crates/dispatch/src/scheduler/events.rs
@@ -15,6 +15,9 @@
     /// Handles a task event from an agent.
     pub fn on_task_event(&mut self, now: Duration, agent: &AgentId, event: &TaskEvent) {
         let name = &event.run.task;
+        if event.status.ends_run() {
+            self.ending_runs.on_end(agent, &event.run);
+        }
         let Some(index) = self.find_sent(name, agent, event.run.number) else {
             return;
         };
--- a/crates/dispatch/src/scheduler/message.rs
+++ b/crates/dispatch/src/scheduler/message.rs
@@ -50,6 +50,13 @@
     Overrun(Duration),
 }
 
+impl RunStatus {
+    /// Returns whether the run does not go on.
+    pub fn ends_run(self) -> bool {
+        !matches!(self, Self::Slow(_) | Self::Overrun(_))
+    }
+}
+
 /// A task event that an agent sends to an entry.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TaskEvent {
--- a/crates/dispatch/tests/testsuite/reattach.rs
+++ b/crates/dispatch/tests/testsuite/reattach.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use cowslipwing_dispatch::{Action, AgentId, RunStatus, Scheduler, TaskEvent, TaskRun};
+use cowslipwing_dispatch::{Action, AgentId, Answer, RunStatus, Scheduler, TaskEvent, TaskRun};
 
-use crate::support::{SETTINGS, agent, job, ms, orders, scheduler_with, status};
+use crate::support::{SETTINGS, agent, answers, job, ms, orders, scheduler_with, status};
 
 const START: Duration = Duration::from_secs(1);
 /// Time at which a task of 900 ms cannot be served any more by the deadline of 1,500 ms.
@@ -110,3 +110,46 @@
     assert_eq!(scheduler.previous_incarnations(&newer), [older.clone()]);
     assert!(scheduler.previous_incarnations(&older).is_empty());
 }
+
+/// Guards against two runs of a task at the same time, if a caller sends its job again at once after its
+/// connection has broken: the first run is still being stopped.
+#[test]
+fn a_job_that_is_sent_again_at_once_waits_for_the_end_of_its_runs() {
+    struct Case {
+        name: &'static str,
+        /// Confirms the end of the runs.
+        confirm: fn(&mut Scheduler, &[TaskRun]),
+    }
+    let report = |scheduler: &mut Scheduler, runs: &[TaskRun]| {
+        for (run, status) in runs.iter().zip([RunStatus::Stopped, RunStatus::NotStarted]) {
+            scheduler.on_task_event(START, &agent(0), &TaskEvent { run: run.clone(), status });
+        }
+    };
+    let attach = |scheduler: &mut Scheduler, _: &[TaskRun]| {
+        scheduler.on_hello(START, &agent(0), &[], &[]);
+        scheduler.on_status(START, &agent(0), status(32_000, 1.0));
+    };
+    // All leases end within 1,100 ms.
+    let wait = |scheduler: &mut Scheduler, _: &[TaskRun]| {
+        scheduler.on_tick(START);
+        scheduler.on_tick(START + ms(1100));
+    };
+    let cases = [
+        Case { name: "the agent reports the ends", confirm: report },
+        Case { name: "the agent attaches without the runs", confirm: attach },
+        Case { name: "the leases end", confirm: wait },
+    ];
+    for case in cases {
+        let (mut scheduler, runs) = sent();
+        scheduler.abandon(&"a1".parse().unwrap());
+        scheduler.take_actions();
+        scheduler.submit(START, job("a1", 2, 1000, ms(900)));
+        let actions = scheduler.take_actions();
+        assert!(orders(&actions).is_empty(), "{}", case.name);
+        assert!(matches!(answers(&actions)[..], [(_, Answer::GaveUp { .. })]), "{}", case.name);
+        (case.confirm)(&mut scheduler, &runs);
+        scheduler.on_heartbeat(START + ms(1100), &agent(0));
+        scheduler.submit(START + ms(1100), job("a1", 2, 1000, ms(900)));
+        assert_eq!(orders(&scheduler.take_actions()).len(), 2, "{}", case.name);
+    }
+}
