--- a/crates/dispatch/tests/testsuite/reattach.rs
+++ b/crates/dispatch/tests/testsuite/reattach.rs
@@ -107,7 +107,7 @@
     for agent in [&older, &newer, &other] {
         scheduler.on_attached(START, agent, &[]);
     }
-    assert_eq!(scheduler.previous_incarnations(&newer), [older.clone()]);
+    assert_eq!(scheduler.previous_incarnations(&newer), std::slice::from_ref(&older));
     assert!(scheduler.previous_incarnations(&older).is_empty());
 }
 
