review: show a task that runs twice while its worker is cut off

A refused connection is taken for the end of the endpoint's process. A worker that is cut off and runs on keeps its runs until its lease lapses, and the task is started elsewhere 10 ms after the cut: both run for about 0.45 s (TWICE).

--- a/review/tools-2/cluster.py
+++ b/review/tools-2/cluster.py
@@ -146,6 +146,7 @@
         self.lease_until = 0
         self.changed = asyncio.Event()
         self.starts = []  # (time, task, run)
+        self.intervals = []  # [task, run, start, end]
 
     def clock_ms(self):
         return int((time.monotonic() - self.started) * 1000)
@@ -206,6 +207,7 @@
             run_ms = int(re.search(r"ms=(\d+)", body["taskSpec"]).group(1))
             self.runs[task] = [run, time.monotonic(), run_ms / 1000]
             self.starts.append((self.record.now(), task, run))
+            self.intervals.append([task, run, self.record.now(), None])
             self.record(f"endpoint {self.name}: start of {task} run {run}")
         return 200, self.answer()
 
@@ -218,6 +220,9 @@
 
     def end(self, task, how):
         run = self.runs.pop(task)[0]
+        for interval in self.intervals:
+            if interval[:2] == [task, run] and interval[3] is None:
+                interval[3] = self.record.now()
         self.highest_ended[task] = max(run, self.highest_ended.get(task, 0))
         self.last_end += 1
         self.ends.append([self.last_end, task, run, how, ""])
@@ -268,6 +273,49 @@
             await asyncio.sleep(pause)
 
 
+class Link:
+    """A proxy between an agent and its endpoint, which can be cut off."""
+
+    def __init__(self):
+        self.writers, self.address = set(), None
+
+    async def serve(self, ip, target):
+        self.target = target
+        self.server = await asyncio.start_server(self.connection, ip, self.address[1] if self.address else 0)
+        self.address = self.server.sockets[0].getsockname()
+        return self.address
+
+    async def connection(self, reader, writer):
+        try:
+            there_reader, there_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            return writer.close()
+        self.writers |= {writer, there_writer}
+        try:
+            await asyncio.gather(self.copy(reader, there_writer), self.copy(there_reader, writer))
+        finally:
+            self.writers -= {writer, there_writer}
+
+    async def copy(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+    def cut(self):
+        """Resets the connections, and refuses others until it is healed."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def heal(self):
+        await self.serve(self.address[0], self.target)
+
+
 class Process:
     """A process of the project's program."""
 
@@ -300,7 +348,7 @@
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
         net = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}"
         self.ips = [f"{net}.{10 + n}" for n in range(entries + agents + 9)]
-        self.entries, self.agents, self.endpoints, self.tasks = [], [], [], []
+        self.entries, self.agents, self.endpoints, self.links, self.tasks = [], [], [], [], []
         self.store = None
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as f:
             self.roles = tomllib.load(f)["roles"]
@@ -384,8 +432,10 @@
 
     async def add_agent(self, ip, n):
         endpoint = Endpoint(f"e{n + 1}", self.record)
-        address = await endpoint.serve(ip)
+        link = Link()
+        address = await link.serve(ip, await endpoint.serve(ip))
         self.endpoints.append(endpoint)
+        self.links.append(link)
         self.agents.append(self.process("agent", f"side-{n + 1}", ip, {"app": "%s:%d" % address}))
         self.tasks.append(asyncio.create_task(endpoint.advance()))
         self.tasks.append(asyncio.create_task(endpoint.announce((ip, self.ports["control"]))))
@@ -462,6 +512,23 @@
     sys.exit(1 if broken else 0)
 
 
+def runs_at_the_same_time(cluster, record):
+    """Checks TWICE: returns whether two runs of one task were at work at the same time."""
+    runs = {}
+    for endpoint in cluster.endpoints:
+        for task, run, start, end in endpoint.intervals:
+            runs.setdefault(task, []).append((start, end or record.now(), endpoint.name, run))
+    broken = False
+    for task, intervals in runs.items():
+        intervals.sort()
+        for (_, end, first, run), (start, other_end, second, other) in zip(intervals, intervals[1:]):
+            if start < end:
+                record(f"TWICE: {task} runs at {first} (run {run}) and {second} (run {other}) for "
+                       f"{1000 * (min(end, other_end) - start):.0f} ms")
+                broken = True
+    return broken
+
+
 def starts_after_cancel(cluster, record, job, acked_at):
     """Checks UNASKED: returns whether a task of the job started later than `cancel_ms` after the
     cancellation was acknowledged."""
