settings: state the memory and the descriptors of a process

No process knows how much memory its VM has: nothing can be bounded against it. The default of limits.memory is the memory that is allowed for control at the size designed for.

--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -26,6 +26,10 @@
 const MAX_REMOTE_RUN_TIME_RATIO: f64 = 100.0;
 /// Upper bound of `limits.body` and `limits.answer`.
 const MAX_MESSAGE_SIZE: ByteSize = ByteSize::new(64 << 20);
+/// Lower bound of `limits.memory`; an idle process uses a third of it.
+const MIN_MEMORY: ByteSize = ByteSize::new(32 << 20);
+/// Lower bound of `limits.descriptors`.
+const MIN_DESCRIPTORS: u32 = 256;
 
 type SettingsResult<T> = Result<T, SettingsError>;
 
@@ -187,7 +191,17 @@
         return invalid_value("limits.tasks_per_job", tasks_per_job, "give 1 to 1000");
     }
     let open_jobs = count_or_default("limits.open_jobs", raw.open_jobs, 10_000)?;
+    let memory = parse_size("limits.memory", &raw.memory, "256MiB")?;
+    if memory < MIN_MEMORY {
+        return invalid_value("limits.memory", memory, format!("give at least {MIN_MEMORY}"));
+    }
+    if (1..MIN_DESCRIPTORS).contains(&raw.descriptors) {
+        let remedy = format!("give at least {MIN_DESCRIPTORS}");
+        return invalid_value("limits.descriptors", raw.descriptors, remedy);
+    }
     Ok(LimitConfig {
+        memory,
+        descriptors: (raw.descriptors > 0).then_some(raw.descriptors),
         body: size_or_default("limits.body", &raw.body, "4MiB")?,
         answer: size_or_default("limits.answer", &raw.answer, "64KiB")?,
         connections: count_or_default("limits.connections", raw.connections, 1024)?,
@@ -318,10 +332,15 @@
 
 /// Parses a size from 1 B to [`MAX_MESSAGE_SIZE`], using the default if the text is empty.
 fn size_or_default(key: &'static str, text: &str, default: &str) -> SettingsResult<ByteSize> {
-    let text = if text.is_empty() { default } else { text };
-    let value: ByteSize = text.parse().or_else(|error| invalid_value(key, text, error))?;
+    let value = parse_size(key, text, default)?;
     if value.bytes() == 0 || value > MAX_MESSAGE_SIZE {
         return invalid_value(key, text, format!("give 1B to {MAX_MESSAGE_SIZE}"));
     }
     Ok(value)
 }
+
+/// Parses a size, using the default if the text is empty.
+fn parse_size(key: &'static str, text: &str, default: &str) -> SettingsResult<ByteSize> {
+    let text = if text.is_empty() { default } else { text };
+    text.parse().or_else(|error| invalid_value(key, text, error))
+}
--- a/crates/settings/src/counts.rs
+++ b/crates/settings/src/counts.rs
@@ -5,13 +5,14 @@
 use crate::error::{BadValueSnafu, SettingsError};
 
 /// Keys of counts of which at least 1 is needed, as section and key.
-const COUNTS: [(&str, &str, &str); 6] = [
+const COUNTS: [(&str, &str, &str); 7] = [
     ("agent", "slots", "agent.slots"),
     ("agent", "cores", "agent.cores"),
     ("agent", "memory_mb", "agent.memory_mb"),
     ("limits", "tasks_per_job", "limits.tasks_per_job"),
     ("limits", "open_jobs", "limits.open_jobs"),
     ("limits", "connections", "limits.connections"),
+    ("limits", "descriptors", "limits.descriptors"),
 ];
 
 /// Checks that no count is written as 0.
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -140,6 +140,11 @@
     pub answer: ByteSize,
     /// The maximum number of concurrent requests.
     pub connections: u32,
+    /// The memory that the process may use.
+    pub memory: ByteSize,
+    /// The number of descriptors that the process may open; `None` stands for the limit that the
+    /// operating system sets.
+    pub descriptors: Option<u32>,
     /// Limits on the number of tasks of a job and on the number of open jobs.
     pub jobs: JobLimits,
 }
--- a/crates/settings/tests/check.rs
+++ b/crates/settings/tests/check.rs
@@ -44,6 +44,16 @@
             parts: &["limits.connections", "\"0\""],
             ..unchanged
         },
+        Case {
+            append: "limits:\n  descriptors: 100\n",
+            parts: &["limits.descriptors", "\"100\"", "at least 256"],
+            ..unchanged
+        },
+        Case {
+            append: "limits:\n  memory: 16MiB\n",
+            parts: &["limits.memory", "\"16MiB\"", "at least 32MiB"],
+            ..unchanged
+        },
         Case {
             append: "telemetry:\n  log: loud\n",
             parts: &["telemetry.log", "\"loud\"", "debug"],
