--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -126,6 +126,22 @@
         name: &str,
         slots: u32,
         slowdown: u32,
+    ) -> Result<(), TestkitError> {
+        self.start_endpoint_with_settings(name, slots, slowdown, "").await
+    }
+
+    /// Starts an endpoint and its agent with `extra_settings`, lines of YAML that are appended to the
+    /// agent's settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process cannot be started.
+    pub async fn start_endpoint_with_settings(
+        &mut self,
+        name: &str,
+        slots: u32,
+        slowdown: u32,
+        extra_settings: &str,
     ) -> Result<(), TestkitError> {
         if !self.nodes.contains_key(name) {
             let ip = self.next_ip();
@@ -135,7 +151,8 @@
             let settings = format!(
                 "role: agent\nsite: loopback\nagent:\n  endpoint: {name}\n  rpc: {ip}:0\n  \
                  advertise: {}\n  target: {target}\n  contact: {contact}\n  slots: {slots}\n  \
-                 queue: 2\n  cores: 8\n{SHORT_LEASE_SETTINGS}",
+                 queue: 2\n  cores: 8\n{SHORT_LEASE_SETTINGS}\
+                 {extra_settings}",
                 forwarder.address(),
             );
             let node = DaemonNode { process: None, forwarder, settings, http: None };
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -54,6 +54,11 @@
         &self.addresses
     }
 
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process with `SIGKILL` and waits for its end.
     pub fn kill(&mut self) {
         self.signal(Signal::SIGKILL);
