dispatch: decide which connections a listener keeps

The decision who is refused and who is closed stands here, pure, before anything uses it.

ConnectionTable counts what each connection holds. When a sum is reached, the connection that is furthest from an answer makes room: a stalled request, then an idle connection, then the largest request. One that is served is never closed.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod attachment;
 mod connection_budget;
+mod connections;
 mod crash_log;
 mod ended_jobs;
 mod evacuation;
@@ -38,6 +39,10 @@
 
 pub use attachment::{KnownEntry, MAX_ENTRIES_PER_AGENT, select_entries};
 pub use connection_budget::{ConnectionBudget, ConnectionDecision, ConnectionLoad};
+pub use connections::{
+    CloseReason, ClosedConnection, ConnectionId, ConnectionLimits, ConnectionPhase,
+    ConnectionTable, ConnectionUsage, Room,
+};
 pub use crash_log::{CrashCount, CrashLog, CrashRecord};
 pub use ended_jobs::EndedJobs;
 pub use evacuation::{
--- a/crates/dispatch/tests/testsuite/main.rs
+++ b/crates/dispatch/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod attachment;
 mod connection_budget;
+mod connections;
 mod crash_records;
 mod crashes;
 mod deferral;
