--- /dev/null
+++ b/crates/server/src/http2.rs
@@ -0,0 +1,72 @@
+//! Serves HTTP/2 on one connection, for calls of other processes.
+
+use std::future::Future;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cowslipwing_dispatch::ConnectionPhase;
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http2;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+
+use crate::connection::ClientConnection;
+use crate::message::MessageBody;
+use crate::stream::CountedStream;
+
+/// Maximum number of concurrent calls on a connection.
+const MAX_CALLS: u32 = 64;
+/// Bytes that a peer may send before they are read, for a call and for a connection.
+const CALL_WINDOW_BYTES: u32 = 128 << 10;
+const CONNECTION_WINDOW_BYTES: u32 = 256 << 10;
+
+/// A service of calls.
+pub trait CallService: Clone + Send + Sync + 'static {
+    /// Body of the answers.
+    type ResponseBody: Body<Data = Bytes, Error: Into<Box<dyn std::error::Error + Send + Sync>>>
+        + Send
+        + 'static;
+
+    /// Answers a call.
+    fn call(
+        &self,
+        req: Request<MessageBody>,
+    ) -> impl Future<Output = Response<Self::ResponseBody>> + Send;
+}
+
+/// Serves the calls of a connection until it closes.
+pub(crate) async fn serve<S>(stream: TcpStream, connection: Arc<ClientConnection>, service: S)
+where
+    S: CallService,
+{
+    connection.set_phase(ConnectionPhase::Stream);
+    let calls = {
+        let connection = connection.clone();
+        service_fn(move |req: Request<Incoming>| {
+            let (parts, body) = req.into_parts();
+            let body = MessageBody::new(&connection, body);
+            let service = service.clone();
+            async move {
+                match body {
+                    Some(body) => Ok(service.call(Request::from_parts(parts, body)).await),
+                    None => Err("refused, not run: calls of others take up the memory"),
+                }
+            }
+        })
+    };
+    let io = TokioIo::new(CountedStream::new(Arc::new(stream), connection.clone()));
+    let http = http2::Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(MAX_CALLS)
+        .initial_stream_window_size(CALL_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .serve_connection(io, calls);
+    tokio::select! {
+        ended = http => if let Err(error) = ended {
+            log::debug!("http: event=connection-ended error=\"{error}\"");
+        },
+        _ = connection.closing() => {}
+    }
+}
