--- a/crates/dispatch/src/connections.rs
+++ b/crates/dispatch/src/connections.rs
@@ -34,7 +34,8 @@
     pub connections: usize,
     /// Maximum memory that all connections hold.
     pub memory: ByteSize,
-    /// Memory that each open connection counts for: its buffers in the process and in the kernel.
+    /// Memory that each open connection counts for beside a head: its buffers in the process and in the
+    /// kernel.
     pub connection_memory: ByteSize,
     /// Maximum size of a request's head.
     pub head: ByteSize,
@@ -46,6 +47,13 @@
     pub min_rate: ByteSize,
 }
 
+impl ConnectionLimits {
+    /// Returns the bytes that an open connection counts for.
+    fn open_memory(&self) -> u64 {
+        self.connection_memory.bytes() + self.head.bytes()
+    }
+}
+
 /// What a connection is waiting for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ConnectionPhase {
@@ -179,7 +187,7 @@
     /// Adds a connection, for which others may have to be closed.
     pub fn open(&mut self, now: Duration) -> Room<ConnectionId> {
         let id = ConnectionId(self.next_id);
-        let memory = self.limits.connection_memory.bytes();
+        let memory = self.limits.open_memory();
         let Some(closed) = self.make_room(now, id, 1, memory, memory) else {
             return Room::Refused;
         };
--- a/crates/dispatch/src/connections/victim.rs
+++ b/crates/dispatch/src/connections/victim.rs
@@ -7,7 +7,7 @@
 
 use super::{Connection, ConnectionId, ConnectionLimits, ConnectionPhase};
 
-/// Lag from which on a request counts as stalled. Losses on a client's link delay it by less.
+/// Lag from which on a request counts as stalled, and a connection as idle. Losses on a client's link delay it by less.
 const STALL_LAG: Duration = Duration::from_secs(1);
 
 /// The room that is needed.
@@ -27,9 +27,9 @@
     Closing(Reverse<Duration>),
     /// Its request makes no progress.
     Stalled(Reverse<Duration>),
-    /// It has no request.
+    /// It has had no request for a while.
     Idle(Reverse<Duration>),
-    /// Its request makes progress and holds this many bytes.
+    /// It has just been opened, or its request makes progress, and it holds this many bytes.
     Active(Reverse<u64>, Reverse<Duration>),
 }
 
@@ -80,11 +80,14 @@
     match connection.phase {
         ConnectionPhase::Serving => None,
         ConnectionPhase::Closing => Some(Rank::Closing(idle)),
-        ConnectionPhase::Idle => Some(Rank::Idle(idle)),
-        ConnectionPhase::Stream if connection.memory <= limits.connection_memory.bytes() => {
-            Some(Rank::Idle(idle))
+        // A connection that has just been opened is about to send a request.
+        ConnectionPhase::Idle if idle.0 >= STALL_LAG => Some(Rank::Idle(idle)),
+        ConnectionPhase::Stream if idle.0 >= STALL_LAG => {
+            let has_message = connection.memory > limits.open_memory();
+            Some(if has_message { Rank::Stalled(idle) } else { Rank::Idle(idle) })
         }
-        ConnectionPhase::Stream if idle.0 >= STALL_LAG => Some(Rank::Stalled(idle)),
+        // Peers in touch keep their streams, however many others connect.
+        ConnectionPhase::Stream if connection.memory <= limits.open_memory() => None,
         ConnectionPhase::Head | ConnectionPhase::Body | ConnectionPhase::Answer
             if lag.0 >= STALL_LAG =>
         {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -67,7 +67,7 @@
 pub use reply_tracker::{EndpointActivity, ReplyTracker};
 pub use report_memory::ReportMemory;
 pub use resources::{FreeResources, Resources};
-pub use route::{Route, RouteTable};
+pub use route::{RequestLimits, Route, RouteTable};
 pub use samples::{EndpointCondition, Samples, SlownessEstimator};
 pub use scheduler::{
     Action, CrashRole, Decision, RackChoice, RackDecision, RackSurvey, RunStatus, Scheduler,
--- a/crates/dispatch/src/route.rs
+++ b/crates/dispatch/src/route.rs
@@ -23,6 +23,17 @@
     pub terms: ContractTerms,
 }
 
+/// Limits of a request that a configuration states, in place of those of the settings.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RequestLimits {
+    /// Maximum size of a request's head in bytes.
+    pub max_head_bytes: Option<usize>,
+    /// Time within which the head of a request must arrive.
+    pub header_timeout: Option<Duration>,
+    /// Time without progress after which a connection is closed.
+    pub idle_timeout: Option<Duration>,
+}
+
 /// One version of the routing configuration.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RouteTable {
@@ -30,6 +41,7 @@
     /// Sorted by host, then by path prefix.
     routes: Vec<Route>,
     max_body_bytes: usize,
+    limits: RequestLimits,
 }
 
 /// Maximum body size of a request before a configuration is known, in bytes.
@@ -71,7 +83,18 @@
     /// ```
     pub fn new(version: u64, mut routes: Vec<Route>, max_body_bytes: usize) -> Self {
         routes.sort_by(|a, b| (&a.host, &a.path_prefix).cmp(&(&b.host, &b.path_prefix)));
-        Self { version, routes, max_body_bytes }
+        Self { version, routes, max_body_bytes, limits: RequestLimits::default() }
+    }
+
+    /// Sets further limits of a request.
+    #[must_use]
+    pub fn with_limits(self, limits: RequestLimits) -> Self {
+        Self { limits, ..self }
+    }
+
+    /// Returns the further limits of a request.
+    pub fn limits(&self) -> RequestLimits {
+        self.limits
     }
 
     /// Returns the version of the configuration; 0 if none has been received.
--- a/crates/dispatch/tests/testsuite/connections.rs
+++ b/crates/dispatch/tests/testsuite/connections.rs
@@ -11,6 +11,8 @@
 use crate::support::ms;
 
 const MIB: u64 = 1 << 20;
+const HEAD_BYTES: u64 = 16 << 10;
+/// Memory that an open connection counts for, with a head.
 const CONNECTION_BYTES: u64 = 64 << 10;
 /// Size of a body, the limit of the platform's configuration.
 const BODY_BYTES: u64 = 256 << 10;
@@ -20,8 +22,8 @@
     ConnectionLimits {
         connections: 256,
         memory: ByteSize::new(32 * MIB),
-        connection_memory: ByteSize::new(CONNECTION_BYTES),
-        head: ByteSize::new(16 << 10),
+        connection_memory: ByteSize::new(CONNECTION_BYTES - HEAD_BYTES),
+        head: ByteSize::new(HEAD_BYTES),
         header_timeout: ms(3000),
         idle_timeout: ms(15_000),
         min_rate: ByteSize::new(1 << 10),
@@ -137,7 +139,19 @@
         },
         Case {
             name: "the peer that is silent for the longest time",
+            connections: &[(Stream, 0), (Stream, 0), (Stream, 0)],
+            active: &[0],
+            closed: Some(1),
+        },
+        Case {
+            name: "no peer that is in touch",
             connections: &[(Stream, 0), (Stream, 0)],
+            active: &[0, 1],
+            closed: None,
+        },
+        Case {
+            name: "a peer without a call before one in touch",
+            connections: &[(Stream, 0), (Idle, 0)],
             active: &[0],
             closed: Some(1),
         },
@@ -210,6 +224,20 @@
     assert_eq!(table.take_expired(ms(15_000)).len(), 1);
 }
 
+/// A connection that has just been accepted holds no request yet, while bodies grow beside it.
+#[test]
+fn a_new_connection_is_not_closed_for_a_growing_body() {
+    let limits = ConnectionLimits { memory: ByteSize::new(MIB), ..limits() };
+    let mut table = ConnectionTable::new(limits);
+    let large = connect(&mut table, ms(0), ConnectionPhase::Body);
+    assert!(receive(&mut table, ms(0), large, MIB - 2 * CONNECTION_BYTES));
+    let (new, closed) = open(&mut table, ms(1)).expect("there is room");
+    assert_eq!(closed, []);
+    assert!(!receive(&mut table, ms(2), large, PIECE_BYTES));
+    table.set_phase(ms(3), new, ConnectionPhase::Serving);
+    assert_eq!(table.phase(new), Some(ConnectionPhase::Serving));
+}
+
 #[test]
 fn a_request_does_not_take_the_room_of_smaller_ones() {
     let mut table =
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use cowslipwing_platform::StoreClient;
+use cowslipwing_server::{Share, Stage};
 use cowslipwing_settings::PlatformAgentConfig;
 use cowslipwing_types::{Clock, to_millis};
 use futures::FutureExt;
@@ -17,7 +18,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
-use crate::http::{self, ListenError, Stage, listen};
+use crate::http::{self, ListenError, Listeners};
 use crate::members::Members;
 use crate::metrics::Metrics;
 
@@ -53,7 +54,13 @@
     ) -> Result<Self, ListenError> {
         let common = &config.common;
         let endpoint = config.endpoint;
-        let announcements = listen("platform.announcements", config.announcements).await?;
+        let listeners = Listeners::new(&common.limits, clock.clone(), metrics.clone());
+        let bind = |key, name, address, share| {
+            listeners.bind(key, name, address, listeners.account(share))
+        };
+        let address = config.announcements;
+        let announcements =
+            bind("platform.announcements", "announcements", address, Share::Announcements)?;
         let started_ms = to_millis(clock.wall());
         let name = format!("{}@{started_ms}", common.node);
         log::info!("agent: event=start agent={name} endpoint={endpoint} seeds={:?}", common.seeds);
@@ -79,7 +86,8 @@
             streams::maintain(members, name.clone(), events.clone()).boxed(),
         ];
         if let Some(port) = common.metrics_port {
-            let listener = listen("platform.metrics_port", (common.ip, port).into()).await?;
+            let address = (common.ip, port).into();
+            let listener = bind("platform.metrics_port", "metrics", address, Share::Probes)?;
             services.push(http::serve_metrics(metrics, listener, stage.subscribe()).boxed());
         }
         let tasks = services.into_iter().map(tokio::spawn).collect();
--- a/crates/node/src/agent/announcements.rs
+++ b/crates/node/src/agent/announcements.rs
@@ -1,18 +1,17 @@
 //! Serves the announcements of the endpoint beside the agent.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
 
 use bytes::Bytes;
 use cowslipwing_platform::{Announcement, decode_announcement};
+use cowslipwing_server::{BodyError, ClientConnection, Listener, Refusal, Stage, read_body};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
 use super::actor::Event;
-use crate::http::{self, Body, Stage};
+use crate::http::Body;
 
 /// Maximum size of an announcement in bytes, as specified by the protocol.
 const MAX_BODY_BYTES: usize = 4 << 20;
@@ -20,11 +19,11 @@
 /// Serves announcements until the agent stops.
 pub(super) async fn serve(
     events: mpsc::UnboundedSender<Event>,
-    listener: TcpListener,
+    listener: Listener,
     stage: watch::Receiver<Stage>,
 ) {
     let handle = move |req| handle_announcement(events.clone(), req);
-    http::serve(listener, stage, Arc::new(AtomicUsize::new(0)), handle).await;
+    listener.serve_http1(stage, handle).await;
 }
 
 async fn handle_announcement(
@@ -32,8 +31,8 @@
     req: Request<Incoming>,
 ) -> Response<Body> {
     let status = match decode_event(req).await {
-        None => StatusCode::BAD_REQUEST,
-        Some(event) => match events.send(event) {
+        Err(status) => status,
+        Ok(event) => match events.send(event) {
             Ok(()) => StatusCode::OK,
             Err(_) => StatusCode::SERVICE_UNAVAILABLE,
         },
@@ -43,16 +42,24 @@
     response
 }
 
-async fn decode_event(req: Request<Incoming>) -> Option<Event> {
+/// Returns the event that a request announces, or the status of its refusal.
+async fn decode_event(req: Request<Incoming>) -> Result<Event, StatusCode> {
     let (parts, body) = req.into_parts();
-    let body = http::read_body(body, MAX_BODY_BYTES).await?;
-    match decode_announcement(&parts.method, parts.uri.path(), &body) {
-        Ok(Announcement::Report(report)) => Some(Event::EndpointAnnounced(report)),
-        Ok(Announcement::Left(id)) => Some(Event::EndpointLeft(id)),
+    let connection = parts.extensions.get::<Arc<ClientConnection>>();
+    let connection = connection.expect("the listener adds the connection to each request");
+    let body = read_body(connection, body, MAX_BODY_BYTES).await.map_err(|error| match error {
+        BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::Refused { refusal: Refusal::NoRoom } => StatusCode::SERVICE_UNAVAILABLE,
+        BodyError::Refused { refusal: Refusal::TimedOut } => StatusCode::REQUEST_TIMEOUT,
+        BodyError::Incomplete => StatusCode::BAD_REQUEST,
+    })?;
+    match decode_announcement(&parts.method, parts.uri.path(), body.bytes()) {
+        Ok(Announcement::Report(report)) => Ok(Event::EndpointAnnounced(report)),
+        Ok(Announcement::Left(id)) => Ok(Event::EndpointLeft(id)),
         Err(error) => {
             let path = parts.uri.path();
             log::warn!("agent: event=bad-announcement path={path} error=\"{error}\"");
-            None
+            Err(StatusCode::BAD_REQUEST)
         }
     }
 }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -17,10 +17,12 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use crate::http::{self, ListenError, Stage, listen};
+use cowslipwing_server::{Share, Stage};
+
+use crate::http::{self, ListenError, Listeners};
 use crate::metrics::Metrics;
 
-use shared::Shared;
+use shared::{CallerLimits, Shared};
 
 /// Time for which the load balancer may still send connections after the entry has stopped being
 /// ready: two failed probes at one probe per second, and the delay of the last connection.
@@ -57,11 +59,18 @@
         metrics: Arc<Metrics>,
     ) -> Result<Self, ListenError> {
         let common = &config.common;
-        let callers = listen("platform.callers", config.callers).await?;
-        let ready = listen("platform.ready", config.ready).await?;
-        let peers = listen("platform.peer_port", (common.ip, common.peer_port).into()).await?;
+        let listeners = Listeners::new(&common.limits, clock.clone(), metrics.clone());
+        let bind = |key, name, address, share| {
+            listeners.bind(key, name, address, listeners.account(share))
+        };
+        let callers = bind("platform.callers", "callers", config.callers, Share::Callers)?;
+        let ready = bind("platform.ready", "ready", config.ready, Share::Probes)?;
+        let peers = (common.ip, common.peer_port).into();
+        let peers = bind("platform.peer_port", "peers", peers, Share::Peers)?;
         let stage = watch::Sender::new(Stage::Serving);
-        let shared = Arc::new(Shared::new(common, config.advertise, clock, metrics.clone()));
+        let request_limits = CallerLimits::new(callers.account().clone(), listeners.limits());
+        let shared = Shared::new(common, config.advertise, clock, metrics.clone(), request_limits);
+        let shared = Arc::new(shared);
         log::info!(
             "entry: event=start entry={} callers={} peers={} seeds={:?}",
             shared.id,
@@ -81,7 +90,8 @@
             tick(shared.clone()).boxed(),
         ];
         if let Some(port) = common.metrics_port {
-            let listener = listen("platform.metrics_port", (common.ip, port).into()).await?;
+            let address = (common.ip, port).into();
+            let listener = bind("platform.metrics_port", "metrics", address, Share::Probes)?;
             services.push(http::serve_metrics(metrics, listener, stage.subscribe()).boxed());
         }
         let tasks = services.into_iter().map(tokio::spawn).collect();
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -1,40 +1,65 @@
 //! Serves callers' requests and the platform's readiness probes.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use cowslipwing_dispatch::{Answer, JobSpec, RequestId};
 use cowslipwing_platform::{
-    CallerRequest, Reply, RequestError, RequestHead, decode_request, encode_answer, encode_error,
+    CallerRequest, Reply, RequestError, RequestHead, check_head, decode_request, encode_answer,
+    encode_error,
+};
+use cowslipwing_server::{
+    BodyError, ClientConnection, HeldBody, Listener, Refusal, Stage, read_body,
 };
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
-use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::time::timeout;
 use tracing::{Instrument, info_span};
 
 use super::peer_cancels::cancel_at_peers;
 use super::shared::Shared;
-use crate::http::{self, Body, Stage};
+use crate::http::Body;
 
 /// Serves callers' requests until the entry is closing.
-pub(super) async fn serve(
-    shared: Arc<Shared>,
-    listener: TcpListener,
-    stage: watch::Receiver<Stage>,
-) {
-    let requests = shared.requests_in_flight.clone();
-    let handle = move |req| serve_request(shared.clone(), req);
-    http::serve(listener, stage, requests, handle).await;
+pub(super) async fn serve(shared: Arc<Shared>, listener: Listener, stage: watch::Receiver<Stage>) {
+    let handle = move |req| {
+        let in_flight = InFlightGuard::new(shared.requests_in_flight.clone());
+        let served = serve_request(shared.clone(), req);
+        async move {
+            let response = served.await;
+            drop(in_flight);
+            response
+        }
+    };
+    listener.serve_http1(stage, handle).await;
+}
+
+/// Counts a request as in flight until it is dropped.
+struct InFlightGuard {
+    requests_in_flight: Arc<AtomicUsize>,
+}
+
+impl InFlightGuard {
+    fn new(requests_in_flight: Arc<AtomicUsize>) -> Self {
+        requests_in_flight.fetch_add(1, Ordering::Relaxed);
+        Self { requests_in_flight }
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.requests_in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// Serves readiness probes until the process ends.
 pub(super) async fn serve_ready(
     shared: Arc<Shared>,
-    listener: TcpListener,
+    listener: Listener,
     stage: watch::Receiver<Stage>,
 ) {
     // Probes must be answered while the entry is closing too.
@@ -44,7 +69,7 @@
         let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         async move { empty_response(status) }
     };
-    http::serve(listener, always_serving.subscribe(), Arc::new(AtomicUsize::new(0)), handle).await;
+    listener.serve_http1(always_serving.subscribe(), handle).await;
 }
 
 /// Returns whether the load balancer should send requests to this entry.
@@ -63,31 +88,52 @@
 async fn serve_request(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
     let arrived_at = shared.now();
     let reply = match read_request(&shared, req).await {
-        Ok(request) => {
+        // The body counts as held until the answer, for what was decoded from it.
+        Ok((request, _body)) => {
             let span = info_span!("serve");
             handle_request(&shared, request, arrived_at).instrument(span).await
         }
         Err(error) => {
             shared.metrics.count("request_rejected");
-            let version = shared.route_table().version();
-            log::info!("entry: event=rejected version={version} error=\"{error}\"");
+            // The listener reports how many requests it refused in each interval.
+            if !matches!(error, RequestError::NoRoom | RequestError::BodyTimedOut) {
+                let version = shared.route_table().version();
+                log::info!("entry: event=rejected version={version} error=\"{error}\"");
+            }
             encode_error(&error)
         }
     };
     to_response(reply)
 }
 
+/// Reads and decodes a request. A request that its head decides is answered without its body.
 async fn read_request(
     shared: &Shared,
     req: Request<Incoming>,
-) -> Result<CallerRequest, RequestError> {
+) -> Result<(CallerRequest, Option<HeldBody>), RequestError> {
     let (parts, body) = req.into_parts();
-    let max_bytes = shared.route_table().max_body_bytes();
-    let body =
-        http::read_body(body, max_bytes).await.ok_or(RequestError::BodyTooLarge { max_bytes })?;
     let head =
         RequestHead { method: &parts.method, path: parts.uri.path(), headers: &parts.headers };
-    decode_request(&shared.route_table(), head, &body)
+    let table = shared.route_table();
+    let Some(caller_timeout) = check_head(&table, head)? else {
+        return Ok((decode_request(&table, head, &[])?, None));
+    };
+    let connection = parts.extensions.get::<Arc<ClientConnection>>();
+    let connection = connection.expect("the listener adds the connection to each request");
+    let read = read_body(connection, body, table.max_body_bytes());
+    // Nobody waits for the answer to a body that arrives later.
+    let read = timeout(caller_timeout, read).await.map_err(|_| RequestError::BodyTimedOut)?;
+    let body = read.map_err(body_error)?;
+    Ok((decode_request(&shared.route_table(), head, body.bytes())?, Some(body)))
+}
+
+fn body_error(error: BodyError) -> RequestError {
+    match error {
+        BodyError::TooLarge { max_bytes } => RequestError::BodyTooLarge { max_bytes },
+        BodyError::Incomplete => RequestError::BodyIncomplete,
+        BodyError::Refused { refusal: Refusal::NoRoom } => RequestError::NoRoom,
+        BodyError::Refused { refusal: Refusal::TimedOut } => RequestError::BodyTimedOut,
+    }
 }
 
 async fn handle_request(
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -8,12 +8,13 @@
 use bytes::Bytes;
 use cowslipwing_dispatch::{
     Action, AgentId, Answer, Decision, EndedJobs, EndpointReport, EntryId, EvacuationNotices,
-    Evacuations, ReportMemory, RequestId, RouteTable, Scheduler, SchedulerSettings,
+    Evacuations, ReportMemory, RequestId, RequestLimits, RouteTable, Scheduler, SchedulerSettings,
 };
 use cowslipwing_platform::{StoreClient, decode_config};
 use cowslipwing_proto::EntryFrame;
+use cowslipwing_server::{Account, ProcessLimits};
 use cowslipwing_settings::PlatformConfig;
-use cowslipwing_types::{Clock, SortedMap, to_millis};
+use cowslipwing_types::{ByteSize, Clock, SortedMap, to_millis};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::peer_cancels::CancelNotices;
@@ -52,6 +53,28 @@
     pub(super) record: Bytes,
 }
 
+/// Applies the limits of a configuration to the callers' connections.
+pub(super) struct CallerLimits {
+    account: Arc<Account>,
+    /// Limits that a configuration does not state.
+    settings: ProcessLimits,
+}
+
+impl CallerLimits {
+    pub(super) fn new(account: Arc<Account>, settings: ProcessLimits) -> Self {
+        Self { account, settings }
+    }
+
+    fn apply(&self, limits: RequestLimits) {
+        let head = limits.max_head_bytes.map(|bytes| ByteSize::new(bytes as u64));
+        self.account.set_request_limits(
+            head.unwrap_or(self.settings.head),
+            limits.header_timeout.unwrap_or(self.settings.header_timeout),
+            limits.idle_timeout.unwrap_or(self.settings.idle_timeout),
+        );
+    }
+}
+
 /// The shared state of an entry.
 pub(super) struct Shared {
     /// Identifies this incarnation of the entry, in the form `VM@START`.
@@ -77,6 +100,7 @@
     /// request.
     waiters: Mutex<SortedMap<RequestId, Vec<oneshot::Sender<Answer>>>>,
     active_config: Mutex<ActiveConfig>,
+    caller_limits: CallerLimits,
     /// Cancelled jobs of which the other entries have not been told.
     pub(super) cancel_notices: CancelNotices,
     /// Answers of ended jobs, for copies of their requests.
@@ -95,6 +119,7 @@
         address: SocketAddr,
         clock: Arc<dyn Clock>,
         metrics: Arc<Metrics>,
+        caller_limits: CallerLimits,
     ) -> Self {
         let started_ms = to_millis(clock.wall());
         let id = format!("{}@{started_ms}", config.node);
@@ -124,6 +149,7 @@
             streams: Mutex::default(),
             waiters: Mutex::default(),
             active_config: Mutex::default(),
+            caller_limits,
             cancel_notices: CancelNotices::default(),
             ended_jobs: Mutex::default(),
             endpoint_reports: Mutex::default(),
@@ -327,6 +353,7 @@
             table.version(),
             table.len()
         );
+        self.caller_limits.apply(table.limits());
         *active_config = ActiveConfig { table: Arc::new(table), record };
     }
 
--- a/crates/node/src/entry/streams.rs
+++ b/crates/node/src/entry/streams.rs
@@ -10,11 +10,11 @@
 use cowslipwing_proto::{
     AgentFrame, AgentHello, CancelReply, CancelRequest, EntryFrame, ExchangeReply, ExchangeRequest,
 };
+use cowslipwing_server::Listener;
 use futures::{Stream as FutureStream, StreamExt};
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
-use tokio_stream::wrappers::{TcpListenerStream, UnboundedReceiverStream};
+use tokio_stream::wrappers::UnboundedReceiverStream;
 use tonic::{Request, Response, Status, Streaming};
 
 use super::shared::{AgentStream, Shared};
@@ -26,15 +26,9 @@
 use crate::wire_ids::run_from_proto;
 
 /// Serves agents and other entries until the entry stops.
-pub(super) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+pub(super) async fn serve(shared: Arc<Shared>, listener: Listener) {
     let service = DispatchServer::new(Service { shared, next_stream_id: AtomicU64::new(0) });
-    let server = tonic::transport::Server::builder()
-        .tcp_nodelay(true)
-        .add_service(service)
-        .serve_with_incoming(TcpListenerStream::new(listener));
-    if let Err(error) = server.await {
-        log::error!("entry: event=peers-server-ended error=\"{error}\"");
-    }
+    listener.serve_http2(service).await;
 }
 
 struct Service {
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -1,23 +1,17 @@
-//! An HTTP/1.1 server with graceful shutdown.
-//!
-//! The server of volo-http handles the signals of the process itself and stops on SIGHUP, so this
-//! module uses hyper, the library below it.
+//! The process's listeners and what they report.
 
-use std::convert::Infallible;
-use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use cowslipwing_server::{Account, Listener, ProcessLimits, Refusal, Report, Share, Stage};
+use cowslipwing_settings::LimitConfig;
+use cowslipwing_types::Clock;
+use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use serde_json::json;
 use snafu::{ResultExt, Snafu};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use crate::metrics::Metrics;
@@ -38,140 +32,92 @@
     },
 }
 
-/// Binds a listener to an address, which the setting `key` holds.
-pub(crate) async fn listen(
-    key: &'static str,
-    address: SocketAddr,
-) -> Result<TcpListener, ListenError> {
-    TcpListener::bind(address).await.context(CannotListenSnafu { key, address })
-}
-
-/// The stage of a process's shutdown.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(crate) enum Stage {
-    /// The process serves requests.
-    Serving,
-    /// The process serves requests and asks callers to use another connection.
-    Draining,
-    /// The process finishes requests in flight and accepts no new connections.
-    Closing,
-}
-
 pub(crate) type Body = Full<Bytes>;
 
-/// Reads a body of at most `max_bytes` bytes; returns `None` if it is larger or incomplete.
-pub(crate) async fn read_body(body: Incoming, max_bytes: usize) -> Option<Bytes> {
-    let collected = Limited::new(body, max_bytes).collect().await;
-    collected.ok().map(http_body_util::Collected::to_bytes)
+/// Binds the listeners of a process.
+pub(crate) struct Listeners {
+    limits: ProcessLimits,
+    clock: Arc<dyn Clock>,
+    metrics: Arc<Metrics>,
 }
 
-/// Serves requests until the stage is [`Stage::Closing`]; `requests_in_flight` counts those in
-/// flight.
-pub(crate) async fn serve<H, F>(
-    listener: TcpListener,
-    stage: watch::Receiver<Stage>,
-    requests_in_flight: Arc<AtomicUsize>,
-    handle: H,
-) where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
-    F: Future<Output = Response<Body>> + Send + 'static,
-{
-    let mut closing_stage = stage.clone();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = wait_until_closing(&mut closing_stage) => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_connection(
-                    stream,
-                    stage.clone(),
-                    requests_in_flight.clone(),
-                    handle.clone(),
-                ));
-            }
-            Err(error) => log::warn!("http: event=accept-failed error=\"{error}\""),
-        }
+impl Listeners {
+    pub(crate) fn new(limits: &LimitConfig, clock: Arc<dyn Clock>, metrics: Arc<Metrics>) -> Self {
+        Self { limits: limits.into(), clock, metrics }
     }
-}
 
-/// Waits until the stage is [`Stage::Closing`].
-async fn wait_until_closing(stage: &mut watch::Receiver<Stage>) {
-    // If the sender is gone, the process is ending.
-    let _ = stage.wait_for(|stage| *stage >= Stage::Closing).await;
-}
-
-async fn serve_connection<H, F>(
-    stream: TcpStream,
-    mut stage: watch::Receiver<Stage>,
-    requests_in_flight: Arc<AtomicUsize>,
-    handle: H,
-) where
-    H: Fn(Request<Incoming>) -> F + Send + 'static,
-    F: Future<Output = Response<Body>> + Send + 'static,
-{
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("http: event=nodelay-failed error=\"{error}\"");
+    /// Returns an account for a listener with a share of the process.
+    pub(crate) fn account(&self, share: Share) -> Arc<Account> {
+        Account::new(self.limits.connections(share), self.clock.clone())
     }
-    let stage_changes = stage.clone();
-    let service = service_fn(move |req| {
-        let guard = InFlightGuard::new(requests_in_flight.clone());
-        let served = handle(req);
-        let stage_changes = stage_changes.clone();
-        async move {
-            let mut response = served.await;
-            drop(guard);
-            if *stage_changes.borrow() >= Stage::Draining {
-                let close = hyper::header::HeaderValue::from_static("close");
-                response.headers_mut().insert(hyper::header::CONNECTION, close);
-            }
-            Ok::<_, Infallible>(response)
-        }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = wait_until_closing(&mut stage) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(error) = ended {
-        log::debug!("http: event=connection-ended error=\"{error}\"");
+
+    /// Returns the limits of a request before a configuration is known.
+    pub(crate) fn limits(&self) -> ProcessLimits {
+        self.limits
     }
-}
 
-/// Counts a request as in flight until it is dropped.
-struct InFlightGuard {
-    requests_in_flight: Arc<AtomicUsize>,
+    /// Binds a listener to an address, which the setting `key` holds. Reports name it `name`.
+    pub(crate) fn bind(
+        &self,
+        key: &'static str,
+        name: &'static str,
+        address: SocketAddr,
+        account: Arc<Account>,
+    ) -> Result<Listener, ListenError> {
+        let report = report(self.metrics.clone());
+        let listener = Listener::bind(name, address, account, encode_refusal, report);
+        listener.context(CannotListenSnafu { key, address })
+    }
 }
 
-impl InFlightGuard {
-    fn new(requests_in_flight: Arc<AtomicUsize>) -> Self {
-        requests_in_flight.fetch_add(1, Ordering::Relaxed);
-        Self { requests_in_flight }
-    }
+fn encode_refusal(refusal: Refusal) -> String {
+    json!({"error": refusal.to_string()}).to_string()
 }
 
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.requests_in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
+/// Counts what happens at a listener, and logs a line for each interval in which clients were refused
+/// or disconnected.
+fn report(metrics: Arc<Metrics>) -> Report {
+    Arc::new(move |name, account, counts| {
+        let usage = account.usage();
+        metrics.set_connections(name, usage.connections, usage.memory.bytes());
+        let events = [
+            ("connection_refused", counts.refused_connections),
+            ("request_no_room", counts.refused_requests),
+            ("connection_made_room", counts.made_room),
+            ("connection_timed_out", counts.timed_out),
+            ("accept_failed", counts.accept_failures),
+        ];
+        for (event, count) in events.into_iter().filter(|(_, count)| *count > 0) {
+            metrics.count_many(event, count);
+        }
+        if events.iter().any(|(_, count)| *count > 0) {
+            let limits = account.limits();
+            log::warn!(
+                "http: event=clients-refused listener={name} connections={}/{} memory={}/{} \
+                 refused={} no_room={} made_room={} timed_out={} accept_failed={}",
+                usage.connections,
+                limits.connections,
+                usage.memory.bytes(),
+                limits.memory.bytes(),
+                counts.refused_connections,
+                counts.refused_requests,
+                counts.made_room,
+                counts.timed_out,
+                counts.accept_failures
+            );
+        }
+    })
 }
 
 /// Serves metrics in the Prometheus text format until the stage is [`Stage::Closing`].
 pub(crate) async fn serve_metrics(
     metrics: Arc<Metrics>,
-    listener: TcpListener,
+    listener: Listener,
     stage: watch::Receiver<Stage>,
 ) {
     let handle = move |_req: Request<Incoming>| {
         let text = metrics.render();
         async move { Response::new(Full::new(Bytes::from(text))) }
     };
-    serve(listener, stage, Arc::new(AtomicUsize::new(0)), handle).await;
+    listener.serve_http1(stage, handle).await;
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -28,6 +28,11 @@
     event: String,
 }
 
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+struct ListenerLabels {
+    listener: &'static str,
+}
+
 #[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
 struct SiteLabels {
     site: String,
@@ -40,6 +45,8 @@
     durations: Family<Labels, Histogram>,
     /// For each evacuated data centre, the Unix time in seconds since when.
     evacuations: Family<SiteLabels, Gauge>,
+    connections: Family<ListenerLabels, Gauge>,
+    held_bytes: Family<ListenerLabels, Gauge>,
 }
 
 fn histogram() -> Histogram {
@@ -60,7 +67,16 @@
             "Unix time at which this process learned of the evacuation of a data centre in force",
             evacuations.clone(),
         );
-        Self { registry: Mutex::new(registry), events, durations, evacuations }
+        let connections: Family<ListenerLabels, Gauge> = Family::default();
+        registry.register("connections", "Open connections by listener", connections.clone());
+        let held_bytes: Family<ListenerLabels, Gauge> = Family::default();
+        registry.register(
+            "held_bytes",
+            "Memory that the connections of a listener count for",
+            held_bytes.clone(),
+        );
+        let registry = Mutex::new(registry);
+        Self { registry, events, durations, evacuations, connections, held_bytes }
     }
 
     /// Increments the counter of an event.
@@ -79,6 +95,14 @@
         histogram.observe(duration.as_secs_f64());
     }
 
+    /// Records the open connections of a listener, and the bytes that they hold.
+    pub(crate) fn set_connections(&self, listener: &'static str, connections: usize, bytes: u64) {
+        let labels = ListenerLabels { listener };
+        let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        self.connections.get_or_create(&labels).set(gauge(connections as u64));
+        self.held_bytes.get_or_create(&labels).set(gauge(bytes));
+    }
+
     /// Records whether a data centre is evacuated, as of `wall`. The gauge exists while it is.
     pub(crate) fn set_evacuation(&self, site: &str, active: bool, wall: SystemTime) {
         let labels = SiteLabels { site: site.to_owned() };
--- a/crates/server/src/accept.rs
+++ b/crates/server/src/accept.rs
@@ -115,9 +115,11 @@
     }
 
     /// Serves HTTP/2, without a check of the stage. A connection without room is disconnected.
-    pub async fn serve_http2<S>(self, service: S)
+    pub async fn serve_http2<S, B>(self, service: S)
     where
-        S: http2::CallService,
+        S: http2::CallService<B>,
+        B: Body<Data = Bytes> + Send + 'static,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
         let stage = watch::Sender::new(Stage::Serving);
         self.accept(stage.subscribe(), |stream, connection| {
--- a/crates/server/src/account.rs
+++ b/crates/server/src/account.rs
@@ -56,19 +56,6 @@
 
 impl Account {
     /// Creates an account without connections.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use std::sync::Arc;
-    ///
-    /// use cowslipwing_server::{Account, ProcessLimits, Share};
-    /// use cowslipwing_types::{ByteSize, ManualClock};
-    ///
-    /// let limits = ProcessLimits::new(ByteSize::new(256 << 20), Some(4096));
-    /// let account = Account::new(limits.connections(Share::Callers), Arc::new(ManualClock::new()));
-    /// assert_eq!(account.usage().connections, 0);
-    /// ```
     pub fn new(limits: ConnectionLimits, clock: Arc<dyn Clock>) -> Arc<Self> {
         let state = State { table: ConnectionTable::new(limits), closers: SortedMap::new() };
         Arc::new(Self {
--- a/crates/server/src/body.rs
+++ b/crates/server/src/body.rs
@@ -11,8 +11,10 @@
 use crate::connection::{ClientConnection, Held};
 use crate::refusal::Refusal;
 
-/// Initial capacity of a body in bytes, which most requests fit into.
-const INITIAL_CAPACITY: usize = 4096;
+/// Size of a segment of a body.
+const SEGMENT_BYTES: usize = 16 << 10;
+/// Size of the first segment of a body whose length is not stated.
+const UNKNOWN_BYTES: usize = 4 << 10;
 
 /// An error when reading a body.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
@@ -55,8 +57,54 @@
     }
 }
 
-/// Reads a body of at most `max_bytes` bytes. The bytes are copied into one buffer: a chunk would keep
-/// the whole buffer of the connection alive.
+/// A body that is arriving, in segments of which all but the first have the same size. Memory that is
+/// freed fits the next segment, where a buffer that grows would leave gaps of all sizes.
+struct ArrivingBody {
+    segments: Vec<Vec<u8>>,
+    capacity: usize,
+    length: usize,
+    held: Held,
+}
+
+impl ArrivingBody {
+    /// Adds bytes; returns `false` if there is no room for them.
+    fn push(&mut self, mut chunk: &[u8], expected: usize) -> bool {
+        self.length += chunk.len();
+        while !chunk.is_empty() {
+            if self.segments.last().is_none_or(|last| last.len() == last.capacity()) {
+                let is_first = self.segments.is_empty();
+                let size = if is_first { expected.clamp(1, SEGMENT_BYTES) } else { SEGMENT_BYTES };
+                if !self.held.resize(ByteSize::new((self.capacity + size) as u64)) {
+                    return false;
+                }
+                self.capacity += size;
+                self.segments.push(Vec::with_capacity(size));
+            }
+            if let Some(segment) = self.segments.last_mut() {
+                let part = (segment.capacity() - segment.len()).min(chunk.len());
+                segment.extend_from_slice(&chunk[..part]);
+                chunk = &chunk[part..];
+            }
+        }
+        true
+    }
+
+    /// Joins the segments; returns `None` if there is no room for the result.
+    fn join(mut self) -> Option<HeldBody> {
+        if self.segments.len() > 1 {
+            let both = self.capacity + self.length;
+            if !self.held.resize(ByteSize::new(both as u64)) {
+                return None;
+            }
+            self.segments = vec![self.segments.concat()];
+            self.held.resize(ByteSize::new(self.length as u64));
+        }
+        Some(HeldBody { bytes: self.segments.pop().unwrap_or_default(), held: self.held })
+    }
+}
+
+/// Reads a body of at most `max_bytes` bytes. The bytes are copied: a chunk would keep the whole buffer
+/// of the connection alive.
 ///
 /// # Errors
 ///
@@ -91,11 +139,12 @@
     B: Body<Data = Bytes>,
 {
     let no_room = RefusedSnafu { refusal: Refusal::NoRoom };
+    let expected = usize::try_from(body.size_hint().lower()).unwrap_or(max_bytes);
     let mut body = std::pin::pin!(body);
-    let mut bytes = Vec::new();
-    let Some(mut held) = connection.reserve(ByteSize::new(0)) else {
+    let Some(held) = connection.reserve(ByteSize::new(0)) else {
         return no_room.fail();
     };
+    let mut arriving = ArrivingBody { segments: Vec::new(), capacity: 0, length: 0, held };
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
             return IncompleteSnafu.fail();
@@ -103,19 +152,13 @@
         let Ok(chunk) = frame.into_data() else {
             continue;
         };
-        let length = bytes.len() + chunk.len();
-        if length > max_bytes {
+        if arriving.length + chunk.len() > max_bytes {
             return TooLargeSnafu { max_bytes }.fail();
         }
-        if length > bytes.capacity() {
-            let capacity = length.max(2 * bytes.capacity()).max(INITIAL_CAPACITY).min(max_bytes);
-            if !held.resize(ByteSize::new(capacity as u64)) {
-                return no_room.fail();
-            }
-            bytes.reserve_exact(capacity - bytes.len());
+        if !arriving.push(&chunk, if expected > 0 { expected } else { UNKNOWN_BYTES }) {
+            return no_room.fail();
         }
-        bytes.extend_from_slice(&chunk);
     }
     connection.begin_serving();
-    Ok(HeldBody { bytes, held })
+    arriving.join().map_or_else(|| no_room.fail(), Ok)
 }
--- a/crates/server/src/http1.rs
+++ b/crates/server/src/http1.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cowslipwing_dispatch::ConnectionPhase;
+use cowslipwing_dispatch::{CloseReason, ConnectionPhase};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
@@ -21,7 +21,7 @@
 use crate::account::CloseOrder;
 use crate::connection::ClientConnection;
 use crate::refusal::{self, EncodeRefusal};
-use crate::stream::{CountedStream, linger};
+use crate::stream::{CountedStream, has_unread_bytes, linger};
 
 /// Bytes of a buffer beside the largest head, for the parts of a body.
 const READ_AHEAD_BYTES: usize = 4096;
@@ -53,7 +53,7 @@
     // Buffers are allocated once there is something to read.
     tokio::select! {
         ready = stream.readable() => if ready.is_err() { return },
-        _ = connection.closing() => return,
+        (reason, _) = connection.closing() => return refuse(&stream, reason, encode).await,
         () = wait_until_closing(&mut stage) => return,
     }
     let service = {
@@ -105,14 +105,32 @@
                 _ = connection.closing() => {}
             }
         }
-        Ended::Closed((reason, ConnectionPhase::Head)) => {
-            refusal::write(&stream, reason.into(), encode);
+        Ended::Closed((reason, ConnectionPhase::Head | ConnectionPhase::Idle)) => {
+            drop(http);
+            refuse(&stream, reason, encode).await;
         }
         Ended::Closed((_, ConnectionPhase::Body)) => {
             // The handler stops to read the body and answers.
             let answered = poll_fn(|cx| http.poll_without_shutdown(cx));
             let _ = timeout(LAST_ANSWER_TIMEOUT, answered).await;
+            drop(http);
+            linger_while_sending(&stream).await;
         }
         Ended::Closed(_) => {}
     }
 }
+
+/// Answers a request whose head has not arrived completely. A client without a request only sees the
+/// connection close.
+async fn refuse(stream: &TcpStream, reason: CloseReason, encode: EncodeRefusal) {
+    refusal::write(stream, reason.into(), encode);
+    linger_while_sending(stream).await;
+}
+
+/// Gives a client that is still sending the time to read its answer.
+async fn linger_while_sending(stream: &TcpStream) {
+    if has_unread_bytes(stream) {
+        // A client that does not stop by then is disconnected.
+        let _ = timeout(LAST_ANSWER_TIMEOUT, linger(stream)).await;
+    }
+}
--- a/crates/server/src/http2.rs
+++ b/crates/server/src/http2.rs
@@ -1,6 +1,7 @@
 //! Serves HTTP/2 on one connection, for calls of other processes.
 
-use std::future::Future;
+use std::convert::Infallible;
+use std::future::poll_fn;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -11,6 +12,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use tokio::net::TcpStream;
+use tower_service::Service;
 
 use crate::connection::ClientConnection;
 use crate::message::MessageBody;
@@ -22,37 +24,46 @@
 const CALL_WINDOW_BYTES: u32 = 128 << 10;
 const CONNECTION_WINDOW_BYTES: u32 = 256 << 10;
 
-/// A service of calls.
-pub trait CallService: Clone + Send + Sync + 'static {
-    /// Body of the answers.
-    type ResponseBody: Body<Data = Bytes, Error: Into<Box<dyn std::error::Error + Send + Sync>>>
-        + Send
-        + 'static;
+/// A service of calls that never fails, such as one that `tonic` generates.
+pub trait CallService<B>:
+    Service<Request<MessageBody>, Response = Response<B>, Error = Infallible, Future: Send>
+    + Clone
+    + Send
+    + Sync
+    + 'static
+{
+}
 
-    /// Answers a call.
-    fn call(
-        &self,
-        req: Request<MessageBody>,
-    ) -> impl Future<Output = Response<Self::ResponseBody>> + Send;
+impl<S, B> CallService<B> for S where
+    S: Service<Request<MessageBody>, Response = Response<B>, Error = Infallible, Future: Send>
+        + Clone
+        + Send
+        + Sync
+        + 'static
+{
 }
 
 /// Serves the calls of a connection until it closes.
-pub(crate) async fn serve<S>(stream: TcpStream, connection: Arc<ClientConnection>, service: S)
+pub(crate) async fn serve<S, B>(stream: TcpStream, connection: Arc<ClientConnection>, service: S)
 where
-    S: CallService,
+    S: CallService<B>,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    connection.set_phase(ConnectionPhase::Stream);
     let calls = {
         let connection = connection.clone();
         service_fn(move |req: Request<Incoming>| {
+            connection.set_phase(ConnectionPhase::Stream);
             let (parts, body) = req.into_parts();
             let body = MessageBody::new(&connection, body);
-            let service = service.clone();
+            let mut service = service.clone();
             async move {
-                match body {
-                    Some(body) => Ok(service.call(Request::from_parts(parts, body)).await),
-                    None => Err("refused, not run: calls of others take up the memory"),
-                }
+                let Some(body) = body else {
+                    return Err("refused, not run: calls of others take up the memory");
+                };
+                let Ok(()) = poll_fn(|cx| service.poll_ready(cx)).await;
+                let Ok(response) = service.call(Request::from_parts(parts, body)).await;
+                Ok(response)
             }
         })
     };
--- a/crates/server/src/share.rs
+++ b/crates/server/src/share.rs
@@ -3,27 +3,28 @@
 use std::time::Duration;
 
 use cowslipwing_dispatch::ConnectionLimits;
+use cowslipwing_settings::LimitConfig;
 use cowslipwing_types::ByteSize;
 use nix::sys::resource::{Resource, getrlimit};
 
 /// Descriptors for files and pipes, and what the process opens itself for the store and for others.
 const RESERVED_DESCRIPTORS: u64 = 200;
-/// Memory that each connection counts for: the buffer in the kernel, and those of HTTP.
-const CLIENT_MEMORY: ByteSize = ByteSize::new(64 << 10);
+/// Memory that each connection counts for beside a head: the buffer in the kernel, and those of HTTP.
+const CLIENT_MEMORY: ByteSize = ByteSize::new(48 << 10);
 /// The same for a connection between processes, whose messages count by themselves.
 const PEER_MEMORY: ByteSize = ByteSize::new(32 << 10);
+/// Descriptors if the operating system states no limit.
+const DEFAULT_DESCRIPTORS: u64 = 1024;
 /// Connections that a listener may have however few descriptors there are.
 const MIN_CONNECTIONS: u64 = 4;
-const DEFAULT_HEAD: ByteSize = ByteSize::new(16 << 10);
-const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(3);
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-const DEFAULT_MIN_RATE: ByteSize = ByteSize::new(1 << 10);
 
 /// What a process may use.
 #[derive(Clone, Copy, Debug)]
 pub struct ProcessLimits {
-    memory: ByteSize,
-    descriptors: u64,
+    /// Memory.
+    pub memory: ByteSize,
+    /// Number of descriptors; without one, the limit of the operating system counts.
+    pub descriptors: Option<u32>,
     /// Maximum size of a request's head.
     pub head: ByteSize,
     /// Time within which the head of a request must arrive.
@@ -48,46 +49,58 @@
     Probes,
 }
 
-impl ProcessLimits {
-    /// Creates limits with the default timeouts. Without a number of descriptors, the limit of the
-    /// operating system counts.
-    pub fn new(memory: ByteSize, descriptors: Option<u32>) -> Self {
-        // The call fails only if the resource is not known.
-        let soft = || getrlimit(Resource::RLIMIT_NOFILE).map_or(1024, |(soft, _)| soft);
+impl From<&LimitConfig> for ProcessLimits {
+    fn from(config: &LimitConfig) -> Self {
         Self {
-            memory,
-            descriptors: descriptors.map_or_else(soft, u64::from),
-            head: DEFAULT_HEAD,
-            header_timeout: DEFAULT_HEADER_TIMEOUT,
-            idle_timeout: DEFAULT_IDLE_TIMEOUT,
-            min_rate: DEFAULT_MIN_RATE,
+            memory: config.memory,
+            descriptors: config.descriptors,
+            head: config.head,
+            header_timeout: config.header_timeout,
+            idle_timeout: config.idle_timeout,
+            min_rate: config.min_rate,
         }
     }
+}
 
+impl ProcessLimits {
     /// Returns the limits of a listener.
     ///
     /// # Examples
     ///
     /// ```
+    /// use std::time::Duration;
+    ///
     /// use cowslipwing_server::{ProcessLimits, Share};
     /// use cowslipwing_types::ByteSize;
     ///
-    /// let limits = ProcessLimits::new(ByteSize::new(256 << 20), Some(4200));
+    /// let limits = ProcessLimits {
+    ///     memory: ByteSize::new(256 << 20),
+    ///     descriptors: Some(4200),
+    ///     head: ByteSize::new(16 << 10),
+    ///     header_timeout: Duration::from_secs(3),
+    ///     idle_timeout: Duration::from_secs(15),
+    ///     min_rate: ByteSize::new(1 << 10),
+    /// };
     /// let callers = limits.connections(Share::Callers);
     /// assert_eq!((callers.connections, callers.memory.to_string()), (1024, "128MiB".into()));
     /// ```
     pub fn connections(&self, share: Share) -> ConnectionLimits {
-        let sockets = self.descriptors.saturating_sub(RESERVED_DESCRIPTORS);
+        // The call fails only if the resource is not known.
+        let soft = || getrlimit(Resource::RLIMIT_NOFILE).map_or(DEFAULT_DESCRIPTORS, |it| it.0);
+        let descriptors = self.descriptors.map_or_else(soft, u64::from);
+        let sockets = descriptors.saturating_sub(RESERVED_DESCRIPTORS);
         let division = share.division();
         let memory = self.memory.bytes() / division.memory_divisor;
         let for_connections = memory * division.connection_percent / 100;
-        let by_memory = for_connections / division.connection_memory.bytes();
+        let head = if division.is_http1 { self.head } else { ByteSize::new(0) };
+        let each = division.connection_memory.bytes() + head.bytes();
+        let by_memory = for_connections / each;
         let connections = by_memory.min(sockets / division.socket_divisor).max(MIN_CONNECTIONS);
         ConnectionLimits {
             connections: connections as usize,
             memory: ByteSize::new(memory),
             connection_memory: division.connection_memory,
-            head: self.head,
+            head,
             header_timeout: self.header_timeout,
             idle_timeout: self.idle_timeout,
             min_rate: self.min_rate,
@@ -99,6 +112,8 @@
 struct Division {
     memory_divisor: u64,
     socket_divisor: u64,
+    /// Whether a connection holds the head of a request.
+    is_http1: bool,
     /// Memory that each connection counts for.
     connection_memory: ByteSize,
     /// Part of the memory that connections without requests may take up. The rest is kept for bodies,
@@ -111,6 +126,7 @@
         let clients = Division {
             memory_divisor: 2,
             socket_divisor: 2,
+            is_http1: true,
             connection_memory: CLIENT_MEMORY,
             connection_percent: 50,
         };
@@ -119,6 +135,7 @@
             Self::Peers => Division {
                 memory_divisor: 4,
                 socket_divisor: 4,
+                is_http1: false,
                 connection_memory: PEER_MEMORY,
                 connection_percent: 75,
             },
--- a/crates/server/src/stream.rs
+++ b/crates/server/src/stream.rs
@@ -119,3 +119,8 @@
         }
     }
 }
+
+/// Returns whether the client has sent bytes that have not been read, some of which are dropped.
+pub(crate) fn has_unread_bytes(stream: &TcpStream) -> bool {
+    stream.try_read(&mut [0; DISCARD_BYTES]).is_ok_and(|count| count > 0)
+}
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -28,6 +28,9 @@
 const MAX_MESSAGE_SIZE: ByteSize = ByteSize::new(64 << 20);
 /// Lower bound of `limits.memory`; an idle process uses a third of it.
 const MIN_MEMORY: ByteSize = ByteSize::new(32 << 20);
+/// Bounds of `limits.head`. Each connection counts for its largest head.
+const MIN_HEAD: ByteSize = ByteSize::new(1 << 10);
+const MAX_HEAD: ByteSize = ByteSize::new(1 << 20);
 /// Lower bound of `limits.descriptors`.
 const MIN_DESCRIPTORS: u32 = 256;
 
@@ -38,13 +41,16 @@
 
     fn try_from(raw: proto::Settings) -> SettingsResult<Self> {
         let site: Site = parse_required("site", &raw.site, "the name of this data centre")?;
+        let limits = validate_limits(raw.limits.unwrap_or_default())?;
         let platform = raw.platform;
         let role = match raw.role.as_str() {
             "entry" if platform.is_some() => {
-                Role::PlatformEntry(validate_platform_entry(&site, &platform.unwrap_or_default())?)
+                let platform = platform.unwrap_or_default();
+                Role::PlatformEntry(validate_platform_entry(&site, limits, &platform)?)
             }
             "agent" if platform.is_some() => {
-                Role::PlatformAgent(validate_platform_agent(&site, &platform.unwrap_or_default())?)
+                let platform = platform.unwrap_or_default();
+                Role::PlatformAgent(validate_platform_agent(&site, limits, &platform)?)
             }
             "entry" => Role::Entry(validate_entry(raw.entry.unwrap_or_default())?),
             "agent" => Role::Agent(validate_agent(raw.agent.unwrap_or_default())?),
@@ -54,7 +60,7 @@
         Ok(Self {
             site,
             role,
-            limits: validate_limits(raw.limits.unwrap_or_default())?,
+            limits,
             lease: validate_lease(raw.lease.unwrap_or_default())?,
             telemetry: validate_telemetry(raw.telemetry.unwrap_or_default())?,
         })
@@ -97,9 +103,10 @@
 
 fn validate_platform_entry(
     site: &Site,
+    limits: LimitConfig,
     raw: &proto::PlatformSettings,
 ) -> SettingsResult<PlatformEntryConfig> {
-    let common = validate_platform(site, raw)?;
+    let common = validate_platform(site, limits, raw)?;
     let advertise = parse_optional_address("platform.advertise", &raw.advertise)?;
     let callers = parse_address("platform.callers", &raw.callers)?;
     let ready = parse_address("platform.ready", &raw.ready)?;
@@ -116,9 +123,10 @@
 
 fn validate_platform_agent(
     site: &Site,
+    limits: LimitConfig,
     raw: &proto::PlatformSettings,
 ) -> SettingsResult<PlatformAgentConfig> {
-    let common = validate_platform(site, raw)?;
+    let common = validate_platform(site, limits, raw)?;
     let announcements = parse_address("platform.announcements", &raw.announcements)?;
     let mut listeners = vec![("platform.announcements", announcements)];
     listeners.extend(metrics_listener(&common));
@@ -143,7 +151,11 @@
     Ok(())
 }
 
-fn validate_platform(site: &Site, raw: &proto::PlatformSettings) -> SettingsResult<PlatformConfig> {
+fn validate_platform(
+    site: &Site,
+    limits: LimitConfig,
+    raw: &proto::PlatformSettings,
+) -> SettingsResult<PlatformConfig> {
     let remedy = "the port on which entries listen for agents and other entries";
     let peer_port = optional_port("platform.peer_port", raw.peer_port)?;
     let peer_port = peer_port.context(MissingSnafu { key: "platform.peer_port", remedy })?;
@@ -159,6 +171,7 @@
         longest_lease: duration_or_default("platform.longest_lease", &raw.longest_lease, "1s")?,
         stop_grace: duration_or_default("platform.stop_grace", &raw.stop_grace, "6s")?,
         site: site.clone(),
+        limits,
         remote_run_time_ratio: remote_run_time_ratio(raw.remote_run_time_ratio)?,
     })
 }
@@ -202,6 +215,10 @@
     Ok(LimitConfig {
         memory,
         descriptors: (raw.descriptors > 0).then_some(raw.descriptors),
+        head: validate_head(&raw.head)?,
+        header_timeout: duration_or_default("limits.header_timeout", &raw.header_timeout, "3s")?,
+        idle_timeout: duration_or_default("limits.idle_timeout", &raw.idle_timeout, "15s")?,
+        min_rate: size_or_default("limits.min_rate", &raw.min_rate, "1KiB")?,
         body: size_or_default("limits.body", &raw.body, "4MiB")?,
         answer: size_or_default("limits.answer", &raw.answer, "64KiB")?,
         connections: count_or_default("limits.connections", raw.connections, 1024)?,
@@ -209,6 +226,14 @@
     })
 }
 
+fn validate_head(text: &str) -> SettingsResult<ByteSize> {
+    let head = size_or_default("limits.head", text, "16KiB")?;
+    if !(MIN_HEAD..=MAX_HEAD).contains(&head) {
+        return invalid_value("limits.head", head, format!("give {MIN_HEAD} to {MAX_HEAD}"));
+    }
+    Ok(head)
+}
+
 fn validate_lease(raw: proto::LeaseSettings) -> SettingsResult<LeaseConfig> {
     let length = duration_or_default("lease.length", &raw.length, "2s")?;
     if length < MIN_LEASE_LENGTH {
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -62,6 +62,8 @@
     pub stop_grace: Duration,
     /// The data centre of the VM.
     pub site: Site,
+    /// Limits on what the process and its clients may use.
+    pub limits: LimitConfig,
     /// The run time of a task whose data is on another rack, relative to the same rack.
     pub remote_run_time_ratio: f64,
 }
@@ -145,6 +147,14 @@
     /// The number of descriptors that the process may open; `None` stands for the limit that the
     /// operating system sets.
     pub descriptors: Option<u32>,
+    /// The maximum size of a request's head.
+    pub head: ByteSize,
+    /// The time within which the head of a request must arrive.
+    pub header_timeout: Duration,
+    /// The time without progress after which a connection is closed.
+    pub idle_timeout: Duration,
+    /// The amount per second below which a request makes room for others.
+    pub min_rate: ByteSize,
     /// Limits on the number of tasks of a job and on the number of open jobs.
     pub jobs: JobLimits,
 }
--- a/crates/settings/tests/check.rs
+++ b/crates/settings/tests/check.rs
@@ -49,6 +49,16 @@
             parts: &["limits.descriptors", "\"100\"", "at least 256"],
             ..unchanged
         },
+        Case {
+            append: "limits:\n  head: 2MiB\n",
+            parts: &["limits.head", "\"2MiB\"", "1KiB to 1MiB"],
+            ..unchanged
+        },
+        Case {
+            append: "limits:\n  idle_timeout: 0s\n",
+            parts: &["limits.idle_timeout", "\"0s\"", "more than 0s"],
+            ..unchanged
+        },
         Case {
             append: "limits:\n  memory: 16MiB\n",
             parts: &["limits.memory", "\"16MiB\"", "at least 32MiB"],
