node: bound what each task of a job carries to an agent

What callers saw: an entry ended by its memory after five requests, each within the limit of a body.

Cause: each task of a job carries its payload, its label and its rack in its order. Only the body was bounded, so that 262,144 bytes became a thousand times their size in the frames to agents.

Change: limits.payload (4000B) and limits.label (256B) bound them; a job over either is answered 400 and not run.

Why it works: the check stands before the scheduler sees the job, so that no order is made from it.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -68,7 +68,7 @@
         let peers = (common.ip, common.peer_port).into();
         let peers = bind("platform.peer_port", "peers", peers, Share::Peers)?;
         let stage = watch::Sender::new(Stage::Serving);
-        let request_limits = CallerLimits::new(callers.account().clone(), listeners.limits());
+        let request_limits = CallerLimits::new(callers.account().clone(), &common.limits);
         let shared = Shared::new(common, config.advertise, clock, metrics.clone(), request_limits);
         let shared = Arc::new(shared);
         log::info!(
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -6,8 +6,8 @@
 
 use cowslipwing_dispatch::{Answer, JobSpec, RequestId};
 use cowslipwing_platform::{
-    CallerRequest, Reply, RequestError, RequestHead, check_head, decode_request, encode_answer,
-    encode_error,
+    CallerRequest, Reply, RequestError, RequestHead, check_head, check_task_size, decode_request,
+    encode_answer, encode_error,
 };
 use cowslipwing_server::{
     BodyError, ClientConnection, HeldBody, Listener, Refusal, Stage, read_body,
@@ -124,7 +124,11 @@
     // Nobody waits for the answer to a body that arrives later.
     let read = timeout(caller_timeout, read).await.map_err(|_| RequestError::BodyTimedOut)?;
     let body = read.map_err(body_error)?;
-    Ok((decode_request(&shared.route_table(), head, body.bytes())?, Some(body)))
+    let request = decode_request(&shared.route_table(), head, body.bytes())?;
+    if let CallerRequest::Submit(spec) = &request {
+        check_task_size(spec, shared.caller_limits.task_size())?;
+    }
+    Ok((request, Some(body)))
 }
 
 fn body_error(error: BodyError) -> RequestError {
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -10,10 +10,10 @@
     Action, AgentId, Answer, Decision, EndedJobs, EndpointReport, EntryId, EvacuationNotices,
     Evacuations, ReportMemory, RequestId, RequestLimits, RouteTable, Scheduler, SchedulerSettings,
 };
-use cowslipwing_platform::{StoreClient, decode_config};
+use cowslipwing_platform::{StoreClient, TaskSizeLimits, decode_config};
 use cowslipwing_proto::EntryFrame;
 use cowslipwing_server::{Account, ProcessLimits};
-use cowslipwing_settings::PlatformConfig;
+use cowslipwing_settings::{LimitConfig, PlatformConfig};
 use cowslipwing_types::{ByteSize, Clock, SortedMap, to_millis};
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -58,11 +58,21 @@
     account: Arc<Account>,
     /// Limits that a configuration does not state.
     settings: ProcessLimits,
+    task_size: TaskSizeLimits,
 }
 
 impl CallerLimits {
-    pub(super) fn new(account: Arc<Account>, settings: ProcessLimits) -> Self {
-        Self { account, settings }
+    pub(super) fn new(account: Arc<Account>, limits: &LimitConfig) -> Self {
+        let bytes = |size: ByteSize| usize::try_from(size.bytes()).unwrap_or(usize::MAX);
+        let task_size = TaskSizeLimits {
+            max_payload_bytes: bytes(limits.payload),
+            max_label_bytes: bytes(limits.label),
+        };
+        Self { account, settings: limits.into(), task_size }
+    }
+
+    pub(super) fn task_size(&self) -> TaskSizeLimits {
+        self.task_size
     }
 
     fn apply(&self, limits: RequestLimits) {
@@ -100,7 +110,7 @@
     /// request.
     waiters: Mutex<SortedMap<RequestId, Vec<oneshot::Sender<Answer>>>>,
     active_config: Mutex<ActiveConfig>,
-    caller_limits: CallerLimits,
+    pub(super) caller_limits: CallerLimits,
     /// Cancelled jobs of which the other entries have not been told.
     pub(super) cancel_notices: CancelNotices,
     /// Answers of ended jobs, for copies of their requests.
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -51,11 +51,6 @@
         Account::new(self.limits.connections(share), self.clock.clone())
     }
 
-    /// Returns the limits of a request before a configuration is known.
-    pub(crate) fn limits(&self) -> ProcessLimits {
-        self.limits
-    }
-
     /// Binds a listener to an address, which the setting `key` holds. Reports name it `name`.
     pub(crate) fn bind(
         &self,
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -219,6 +219,8 @@
         header_timeout: duration_or_default("limits.header_timeout", &raw.header_timeout, "3s")?,
         idle_timeout: duration_or_default("limits.idle_timeout", &raw.idle_timeout, "15s")?,
         min_rate: size_or_default("limits.min_rate", &raw.min_rate, "1KiB")?,
+        payload: size_or_default("limits.payload", &raw.payload, "4000B")?,
+        label: size_or_default("limits.label", &raw.label, "256B")?,
         body: size_or_default("limits.body", &raw.body, "4MiB")?,
         answer: size_or_default("limits.answer", &raw.answer, "64KiB")?,
         connections: count_or_default("limits.connections", raw.connections, 1024)?,
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -155,6 +155,10 @@
     pub idle_timeout: Duration,
     /// The amount per second below which a request makes room for others.
     pub min_rate: ByteSize,
+    /// The maximum size of the payload that a caller of the platform gives all tasks of a job.
+    pub payload: ByteSize,
+    /// The maximum size of a label or rack that a step names.
+    pub label: ByteSize,
     /// Limits on the number of tasks of a job and on the number of open jobs.
     pub jobs: JobLimits,
 }
