dispatch: keep the streams of peers in touch beside many that connect

Cause: a stream counts for its open call, 4 KiB, so that it never was as small as an open connection, and ranked as the largest active one.

Change: a stream is small while its calls hold no more than the connection by itself.

Why it works: the agent's stream sends heartbeats, so that it is in touch, and only an unfinished message larger than a connection makes it a victim.

--- a/crates/dispatch/src/connections/victim.rs
+++ b/crates/dispatch/src/connections/victim.rs
@@ -77,17 +77,18 @@
 ) -> Option<Rank> {
     let lag = Reverse(connection.lag(now, limits.min_rate));
     let idle = Reverse(now.saturating_sub(connection.last_progress));
+    // Open calls hold less than the connection by itself; more is an unfinished message.
+    let is_small = connection.memory <= 2 * limits.open_memory();
     match connection.phase {
         ConnectionPhase::Serving => None,
         ConnectionPhase::Closing => Some(Rank::Closing(idle)),
         // A connection that has just been opened is about to send a request.
         ConnectionPhase::Idle if idle.0 >= STALL_LAG => Some(Rank::Idle(idle)),
         ConnectionPhase::Stream if idle.0 >= STALL_LAG => {
-            let has_message = connection.memory > limits.open_memory();
-            Some(if has_message { Rank::Stalled(idle) } else { Rank::Idle(idle) })
+            Some(if is_small { Rank::Idle(idle) } else { Rank::Stalled(idle) })
         }
         // Peers in touch keep their streams, however many others connect.
-        ConnectionPhase::Stream if connection.memory <= limits.open_memory() => None,
+        ConnectionPhase::Stream if is_small => None,
         ConnectionPhase::Head | ConnectionPhase::Body | ConnectionPhase::Answer
             if lag.0 >= STALL_LAG =>
         {
--- a/crates/dispatch/tests/testsuite/connections.rs
+++ b/crates/dispatch/tests/testsuite/connections.rs
@@ -145,7 +145,7 @@
         },
         Case {
             name: "no peer that is in touch",
-            connections: &[(Stream, 0), (Stream, 0)],
+            connections: &[(Stream, 4096), (Stream, 8192)],
             active: &[0, 1],
             closed: None,
         },
