daemon: bound what the connections of the own interface hold together

What callers saw: the entry of the product's own interface ended by its memory in the same way as the one on the platform, and its peers' and its agents' listeners too.

Cause: the HTTP server in use has no timer, no bound on its connections, and accepts in a loop that never pauses; the gRPC server bounds a message to 128 MB and nothing beyond. A submission that was still arriving counted against limits.connections, so that 1,024 stalled ones refused all others.

Change: all three listeners go through cowslipwing-server, with the router and the generated services as before. A submission counts as in flight once it has arrived.

Why it works: as for the platform's listeners, each growth counts before it is allocated. While the entry stops, answers ask callers to use another connection, and it serves until its ranges are handed over.

--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -9,13 +9,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cowslipwing_server::Share;
 use cowslipwing_settings::{AgentConfig, Config};
 use cowslipwing_types::Clock;
 use futures::FutureExt;
 use tokio::task::JoinHandle;
 
 use crate::metrics::Metrics;
-use crate::net::{self, StartError};
+use crate::net::{self, Process, StartError};
 use crate::signal::StopSignal;
 
 use state::Shared;
@@ -48,7 +49,8 @@
         metrics: Metrics,
         stop: StopSignal,
     ) -> Result<Self, StartError> {
-        let (listener, rpc) = net::listen("agent.rpc", agent.rpc).await?;
+        let process = Process { limits: &config.limits, clock: &clock, metrics: &metrics };
+        let (listener, rpc) = net::listen("agent.rpc", agent.rpc, Share::Peers, &process)?;
         let shared = Arc::new(Shared::new(config, agent, rpc, clock, metrics));
         log::info!("agent: {} is listening on {rpc}.", shared.incarnation);
         let loops = [
--- a/crates/daemon/src/agent/service.rs
+++ b/crates/daemon/src/agent/service.rs
@@ -5,11 +5,11 @@
 
 use cowslipwing_proto::agent_server::{Agent, AgentServer};
 use cowslipwing_proto::{FromAgent, SurveyReply, SurveyRequest, ToAgent};
+use cowslipwing_server::Listener;
 use cowslipwing_types::EntryId;
 use futures::{Stream, StreamExt};
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio_stream::wrappers::{TcpListenerStream, UnboundedReceiverStream};
+use tokio_stream::wrappers::UnboundedReceiverStream;
 use tonic::{Request, Response, Status, Streaming};
 
 use super::state::Shared;
@@ -20,17 +20,11 @@
 const MAX_MERGED_BATCHES: usize = 256;
 
 /// Serves calls until the agent stops.
-pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+pub(crate) async fn serve(shared: Arc<Shared>, listener: Listener) {
     let service = AgentServer::new(AgentService { shared })
         .max_decoding_message_size(net::MAX_MESSAGE_BYTES)
         .max_encoding_message_size(net::MAX_MESSAGE_BYTES);
-    let server = tonic::transport::Server::builder()
-        .tcp_nodelay(true)
-        .add_service(service)
-        .serve_with_incoming(TcpListenerStream::new(listener));
-    if let Err(error) = server.await {
-        log::error!("agent: the gRPC server stopped: {error}.");
-    }
+    listener.serve_http2(service).await;
 }
 
 struct AgentService {
--- a/crates/daemon/src/api_error.rs
+++ b/crates/daemon/src/api_error.rs
@@ -31,6 +31,12 @@
         /// Maximum number of requests in flight at the entry.
         limit: u32,
     },
+    /// The requests of others take up the memory or the connections of the entry.
+    #[snafu(display("the requests of others take up the memory of this entry"))]
+    NoRoom,
+    /// The request has not arrived in time.
+    #[snafu(display("the request did not arrive in time"))]
+    RequestTimedOut,
     /// A name is invalid.
     #[snafu(display("{field}: {source}"))]
     BadName {
@@ -152,6 +158,15 @@
 /// Retry delay if the platform's store did not answer.
 const STORE_RETRY_DELAY: Duration = Duration::from_secs(5);
 
+impl From<cowslipwing_server::Refusal> for ApiError {
+    fn from(refusal: cowslipwing_server::Refusal) -> Self {
+        match refusal {
+            cowslipwing_server::Refusal::NoRoom => Self::NoRoom,
+            cowslipwing_server::Refusal::TimedOut => Self::RequestTimedOut,
+        }
+    }
+}
+
 impl ApiError {
     /// Returns the error code, by which programs distinguish errors.
     pub fn kind(&self) -> &'static str {
@@ -159,6 +174,8 @@
             Self::Malformed { .. } => "malformed",
             Self::BodyTooLarge { .. } => "body_too_large",
             Self::TooManyConnections { .. } => "too_many_connections",
+            Self::NoRoom => "no_room",
+            Self::RequestTimedOut => "request_timed_out",
             Self::BadName { .. } => "bad_name",
             Self::BadKey { .. } => "bad_key",
             Self::BadQuantity { .. } => "bad_quantity",
@@ -197,7 +214,9 @@
             Self::BodyTooLarge { .. } => 413,
             Self::DeadlinePassed { .. } => 422,
             Self::Refused { refusal } => refusal_status(refusal),
+            Self::RequestTimedOut => 408,
             Self::TooManyConnections { .. }
+            | Self::NoRoom
             | Self::UnresolvedCustomer { .. }
             | Self::NoOwner { .. }
             | Self::LogUnavailable => 503,
@@ -210,7 +229,9 @@
         match self {
             Self::Malformed { .. } => "send a JSON body as the submission reference shows",
             Self::BodyTooLarge { .. } => "split the job or raise limits.body",
+            Self::RequestTimedOut => "send it again without pauses",
             Self::TooManyConnections { .. }
+            | Self::NoRoom
             | Self::UnresolvedCustomer { .. }
             | Self::NoOwner { .. } => "come back after Retry-After with the same key",
             Self::BadName { .. } | Self::BadKey { .. } | Self::BadQuantity { .. } => {
@@ -240,6 +261,7 @@
         match self {
             Self::Refused { refusal } => refusal.retry_after(),
             Self::TooManyConnections { .. }
+            | Self::NoRoom
             | Self::UnresolvedCustomer { .. }
             | Self::NoOwner { .. }
             | Self::OwnerLost { .. } => Some(ENTRY_RETRY_DELAY),
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -26,13 +26,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cowslipwing_server::{Share, Stage};
 use cowslipwing_settings::{Config, EntryConfig};
 use cowslipwing_types::Clock;
 use futures::FutureExt;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::metrics::Metrics;
-use crate::net::{self, StartError};
+use crate::net::{self, Process, StartError};
 use crate::signal::StopSignal;
 
 use decision_log::DecisionLog;
@@ -46,6 +48,7 @@
 pub struct Entry {
     shared: Arc<Shared>,
     stop: StopSignal,
+    stage: watch::Sender<Stage>,
     http: SocketAddr,
     rpc: SocketAddr,
     background_tasks: Vec<JoinHandle<()>>,
@@ -64,8 +67,11 @@
         metrics: Metrics,
         stop: StopSignal,
     ) -> Result<Self, StartError> {
-        let (http_listener, http) = net::listen("entry.http", entry.http).await?;
-        let (rpc_listener, rpc) = net::listen("entry.rpc", entry.rpc).await?;
+        let process = Process { limits: &config.limits, clock: &clock, metrics: &metrics };
+        let (http_listener, http) =
+            net::listen("entry.http", entry.http, Share::Callers, &process)?;
+        let (rpc_listener, rpc) = net::listen("entry.rpc", entry.rpc, Share::Peers, &process)?;
+        let stage = watch::Sender::new(Stage::Serving);
         let source_ip = net::source_ip(rpc);
         let decision_log = DecisionLog::new(entry.log, source_ip);
         let addresses = Addresses { http, rpc: entry.advertise.unwrap_or(rpc), source_ip };
@@ -84,10 +90,10 @@
             dispatch::run(shared.clone()).boxed(),
             jobs::run_ticks(shared.clone()).boxed(),
             rpc::serve(shared.clone(), rpc_listener).boxed(),
-            http::serve(shared.clone(), http_listener).boxed(),
+            http::serve(shared.clone(), http_listener, stage.subscribe()).boxed(),
         ];
         let background_tasks = loops.into_iter().map(tokio::spawn).collect();
-        Ok(Self { shared, stop, http, rpc, background_tasks })
+        Ok(Self { shared, stop, stage, http, rpc, background_tasks })
     }
 
     /// Returns the bound address of the HTTP interface for callers and operators.
@@ -114,6 +120,7 @@
         self.stop.wait().await;
         log::info!("entry: {} is stopping.", self.shared.id);
         self.shared.begin_stop();
+        self.stage.send_replace(Stage::Draining);
         if tokio::time::timeout(STOP_TIMEOUT, handover::leave(&self.shared)).await.is_err() {
             log::warn!(
                 "entry: handover and requests in flight did not finish within {STOP_TIMEOUT:?}."
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -1,20 +1,25 @@
 //! The HTTP interface for callers and operators.
 
+use std::convert::Infallible;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
 use cowslipwing_proto::{Contract, JobAnswer, JobState, JobSubmission, Problem};
+use cowslipwing_server::{BodyError, ClientConnection, HeldBody, Listener, Stage, read_body};
 use cowslipwing_types::{ByteSize, JobId, JobKey, Version, from_millis, to_millis};
-use futures::StreamExt;
+use hyper::body::Incoming;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tracing::{Instrument, Span, info_span};
-use volo::net::incoming::DefaultIncoming;
+use volo::net::Address;
+use volo::service::Service;
 use volo_http::body::Body;
+use volo_http::context::ServerContext;
 use volo_http::http::{HeaderMap, StatusCode, Uri};
 use volo_http::request::Request;
 use volo_http::response::Response;
-use volo_http::server::Server;
+use volo_http::server::IntoResponse;
 use volo_http::server::param::PathParams;
 use volo_http::server::route::{Router, get, post};
 use volo_http::utils::Extension;
@@ -29,6 +34,8 @@
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 const IDEMPOTENCY_KEY_CREATED: &str = "idempotency-key-created";
 const TRACEPARENT: &str = "traceparent";
+/// Stands for the address of a caller.
+const UNKNOWN_CALLER: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 /// Maximum number of attempts to generate a key in a range that this entry serves.
 const MAX_KEY_ATTEMPTS: u32 = 4096;
 
@@ -36,8 +43,8 @@
 type ProblemResult<T> = Result<T, Problem>;
 
 /// Serves requests until the entry stops.
-pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
-    let router = Router::new()
+pub(crate) async fn serve(shared: Arc<Shared>, listener: Listener, stage: watch::Receiver<Stage>) {
+    let router = Router::<Body, Infallible>::new()
         .route("/v1/jobs", post(submit))
         .route("/v1/jobs/{customer}/{key}", get(show).delete(withdraw))
         .route("/v1/contracts", get(list_contracts))
@@ -52,10 +59,16 @@
         .route("/health", get(health))
         .route("/ready", get(ready))
         .layer(Extension(shared));
-    let server = Server::new(router).run(DefaultIncoming::from(listener));
-    if let Err(error) = server.await {
-        log::error!("entry: the HTTP server stopped: {error}.");
-    }
+    let router = Arc::new(router);
+    let handle = move |req: hyper::Request<Incoming>| {
+        let router = router.clone();
+        async move {
+            // Handlers do not use the caller's address.
+            let mut cx = ServerContext::new(Address::from(UNKNOWN_CALLER));
+            router.call(&mut cx, req.map(Body::from_incoming)).await.into_response()
+        }
+    };
+    listener.serve_http1(stage, handle).await;
 }
 
 async fn submit(Extension(shared): State, req: Request) -> Response {
@@ -63,8 +76,12 @@
     let headers = req.headers().clone();
     trace::set_remote_parent(&span, header(&headers, TRACEPARENT).unwrap_or_default());
     let served = async {
+        // A submission that is still arriving does not count as in flight.
+        let read = read_json::<JobSubmission>(shared.limits.body, req).await;
+        let (submission, _body) = read.map_err(|error| error.problem())?;
         let _in_flight = shared.begin_limited_request().map_err(|error| error.problem())?;
-        let checked = read_submission(&shared, &headers, req).await.map_err(|e| e.problem())?;
+        let checked = check_submission(&shared, &headers, submission).await;
+        let checked = checked.map_err(|error| error.problem())?;
         route(&shared, JobRequest::Submit(Box::new(checked))).await
     };
     let answer = served.instrument(span).await;
@@ -72,13 +89,12 @@
     job_response(answer)
 }
 
-/// Reads a submission and its idempotency key, which is generated if the caller sends none.
-async fn read_submission(
+/// Checks a submission and its idempotency key, which is generated if the caller sends none.
+async fn check_submission(
     shared: &Shared,
     headers: &HeaderMap,
-    req: Request,
+    submission: JobSubmission,
 ) -> Result<submission::CheckedSubmission, ApiError> {
-    let submission: JobSubmission = read_json(shared.limits.body, req).await?;
     let customer = admin::parse_customer(&submission.customer)?;
     let key = match header(headers, IDEMPOTENCY_KEY) {
         Some(text) => text.parse()?,
@@ -146,7 +162,7 @@
     req: Request,
 ) -> Response {
     let contract: Contract = match read_json(shared.limits.body, req).await {
-        Ok(contract) => contract,
+        Ok((contract, _body)) => contract,
         Err(error) => return problem_response(&error.problem()),
     };
     let base = uri.query().and_then(|query| query.strip_prefix("base=")).unwrap_or("0");
@@ -214,22 +230,24 @@
     headers.get(name)?.to_str().ok()
 }
 
-/// Reads and parses a JSON body of at most `limit` bytes.
-async fn read_json<T>(limit: ByteSize, req: Request) -> Result<T, ApiError>
+/// Reads and parses a JSON body of at most `limit` bytes. The body counts as held until it is dropped,
+/// for what was parsed from it.
+async fn read_json<T>(limit: ByteSize, req: Request) -> Result<(T, HeldBody), ApiError>
 where
     T: DeserializeOwned,
 {
-    let mut stream = http_body_util::BodyDataStream::new(req.into_body());
-    let mut bytes = Vec::new();
-    while let Some(chunk) = stream.next().await {
-        let chunk = chunk.map_err(|error| ApiError::Malformed { detail: error.to_string() })?;
-        if (bytes.len() + chunk.len()) as u64 > limit.bytes() {
-            return Err(ApiError::BodyTooLarge { limit });
-        }
-        bytes.extend_from_slice(&chunk);
-    }
-    serde_json::from_slice(&bytes)
-        .map_err(|error| ApiError::Malformed { detail: error.to_string() })
+    let (parts, body) = req.into_parts();
+    let connection = parts.extensions.get::<Arc<ClientConnection>>();
+    let connection = connection.expect("the listener adds the connection to each request");
+    let max_bytes = usize::try_from(limit.bytes()).unwrap_or(usize::MAX);
+    let body = read_body(connection, body, max_bytes).await.map_err(|error| match error {
+        BodyError::TooLarge { .. } => ApiError::BodyTooLarge { limit },
+        BodyError::Incomplete => ApiError::Malformed { detail: error.to_string() },
+        BodyError::Refused { refusal } => refusal.into(),
+    })?;
+    let parsed = serde_json::from_slice(body.bytes())
+        .map_err(|error| ApiError::Malformed { detail: error.to_string() })?;
+    Ok((parsed, body))
 }
 
 fn job_response(answer: ProblemResult<JobAnswer>) -> Response {
--- a/crates/daemon/src/entry/rpc.rs
+++ b/crates/daemon/src/entry/rpc.rs
@@ -9,9 +9,8 @@
     LeaseCheck, LeaseReply, LoanReply, LoanRequest, PromiseReply, PromiseRequest, Repayment,
     RepaymentReply, Transfer, TransferReply,
 };
+use cowslipwing_server::Listener;
 use cowslipwing_types::{EntryId, Incarnation, MemberVersion};
-use tokio::net::TcpListener;
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::service::interceptor::InterceptedService;
 use tonic::{Request, Response, Status};
 
@@ -22,19 +21,13 @@
 
 /// Serves calls until the entry stops. Calls that are addressed to another incarnation of the entry
 /// are refused.
-pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+pub(crate) async fn serve(shared: Arc<Shared>, listener: Listener) {
     let recipient_check = CheckRecipient { id: shared.id.clone() };
     let service = PeerServer::new(PeerService { shared })
         .max_decoding_message_size(net::MAX_MESSAGE_BYTES)
         .max_encoding_message_size(net::MAX_MESSAGE_BYTES);
     let service = InterceptedService::new(service, recipient_check);
-    let server = tonic::transport::Server::builder()
-        .tcp_nodelay(true)
-        .add_service(service)
-        .serve_with_incoming(TcpListenerStream::new(listener));
-    if let Err(error) = server.await {
-        log::error!("entry: the gRPC server stopped: {error}.");
-    }
+    listener.serve_http2(service).await;
 }
 
 struct PeerService {
--- a/crates/daemon/src/net.rs
+++ b/crates/daemon/src/net.rs
@@ -2,17 +2,22 @@
 //! incarnation it is addressed to.
 
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
-use cowslipwing_types::EntryId;
+use cowslipwing_server::{Account, AccountCounts, Listener, ProcessLimits, Refusal, Report, Share};
+use cowslipwing_settings::LimitConfig;
+use cowslipwing_types::{Clock, EntryId};
 use snafu::{ResultExt, Snafu};
-use tokio::net::TcpListener;
 use tonic::metadata::{Ascii, MetadataValue};
 use tonic::service::Interceptor;
 use tonic::service::interceptor::InterceptedService;
 use tonic::transport::{Channel, Endpoint};
 use tonic::{Request, Status};
 
+use crate::api_error::ApiError;
+use crate::metrics::Metrics;
+
 /// Time after which a connection attempt fails.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval between HTTP/2 keep-alive pings.
@@ -48,17 +53,66 @@
 
 /// Binds a listener and returns it with its local address.
 ///
-/// `setting` names the setting that gives the address; it appears in the error message.
-pub(crate) async fn listen(
+/// `setting` names the setting that gives the address; it appears in the error message. `share` is the
+/// part of the process that the listener's connections take.
+pub(crate) fn listen(
     setting: &'static str,
     address: SocketAddr,
-) -> Result<(TcpListener, SocketAddr), StartError> {
+    share: Share,
+    process: &Process<'_>,
+) -> Result<(Listener, SocketAddr), StartError> {
     let context = CannotListenSnafu { setting, address };
-    let listener = TcpListener::bind(address).await.context(context)?;
+    let limits = ProcessLimits::from(process.limits).connections(share);
+    let account = Account::new(limits, process.clock.clone());
+    let report = report(process.metrics.clone());
+    let listener = Listener::bind(setting, address, account, encode_refusal, report);
+    let listener = listener.context(context)?;
     let local_addr = listener.local_addr().context(context)?;
     Ok((listener, local_addr))
 }
 
+/// What the listeners of a process share.
+pub(crate) struct Process<'a> {
+    pub(crate) limits: &'a LimitConfig,
+    pub(crate) clock: &'a Arc<dyn Clock>,
+    pub(crate) metrics: &'a Metrics,
+}
+
+fn encode_refusal(refusal: Refusal) -> String {
+    let problem = ApiError::from(refusal).problem();
+    serde_json::to_string(&problem).expect("a problem has no keys that JSON cannot represent")
+}
+
+/// Counts what happens at a listener, and logs a line for each interval in which clients were refused
+/// or disconnected.
+fn report(metrics: Metrics) -> Report {
+    Arc::new(move |listener, account, counts| {
+        let usage = account.usage();
+        metrics.gauge(&format!("{listener}.connections"), usage.connections as u64);
+        metrics.gauge(&format!("{listener}.held_bytes"), usage.memory.bytes());
+        let events = [
+            ("connections_refused", counts.refused_connections),
+            ("requests_no_room", counts.refused_requests),
+            ("connections_made_room", counts.made_room),
+            ("connections_timed_out", counts.timed_out),
+            ("accept_failures", counts.accept_failures),
+        ];
+        for (event, count) in events.into_iter().filter(|(_, count)| *count > 0) {
+            metrics.count(&format!("{listener}.{event}"), count);
+        }
+        if counts != AccountCounts::default() {
+            log::warn!(
+                "{listener}: clients were refused or disconnected, with {} of {} connections and {} \
+                 of {} held: {counts:?}.",
+                usage.connections,
+                account.limits().connections,
+                usage.memory,
+                account.limits().memory
+            );
+        }
+    })
+}
+
 /// Returns the source address for outgoing connections of the process that listens on `listener`.
 ///
 /// Connecting from the listening address identifies the process to others. Returns `None` if the
--- a/crates/server/src/share.rs
+++ b/crates/server/src/share.rs
@@ -35,17 +35,18 @@
     pub min_rate: ByteSize,
 }
 
-/// The part of a process that a listener takes.
+/// The part of a process that a listener takes. The rest of the memory is for the process itself, for
+/// connections that are being closed, and for what the allocator does not give back at once.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Share {
-    /// Callers: half of the memory and of the descriptors.
+    /// Callers: 40% of the memory, half of the descriptors.
     Callers,
-    /// Other processes of the system: a quarter of the memory and of the descriptors.
+    /// Other processes of the system: 20% of the memory, a quarter of the descriptors.
     Peers,
     /// Announcements of the endpoint beside an agent: a quarter of the memory, an eighth of the
     /// descriptors.
     Announcements,
-    /// Probes and metrics: a thirty-second of the memory and of the descriptors.
+    /// Probes and metrics: 3% of the memory, a thirty-second of the descriptors.
     Probes,
 }
 
@@ -74,7 +75,7 @@
     /// use cowslipwing_types::ByteSize;
     ///
     /// let limits = ProcessLimits {
-    ///     memory: ByteSize::new(256 << 20),
+    ///     memory: ByteSize::new(250 << 20),
     ///     descriptors: Some(4200),
     ///     head: ByteSize::new(16 << 10),
     ///     header_timeout: Duration::from_secs(3),
@@ -82,7 +83,7 @@
     ///     min_rate: ByteSize::new(1 << 10),
     /// };
     /// let callers = limits.connections(Share::Callers);
-    /// assert_eq!((callers.connections, callers.memory.to_string()), (1024, "128MiB".into()));
+    /// assert_eq!((callers.connections, callers.memory.to_string()), (800, "100MiB".into()));
     /// ```
     pub fn connections(&self, share: Share) -> ConnectionLimits {
         // The call fails only if the resource is not known.
@@ -90,7 +91,7 @@
         let descriptors = self.descriptors.map_or_else(soft, u64::from);
         let sockets = descriptors.saturating_sub(RESERVED_DESCRIPTORS);
         let division = share.division();
-        let memory = self.memory.bytes() / division.memory_divisor;
+        let memory = self.memory.bytes() * division.memory_percent / 100;
         let for_connections = memory * division.connection_percent / 100;
         let head = if division.is_http1 { self.head } else { ByteSize::new(0) };
         let each = division.connection_memory.bytes() + head.bytes();
@@ -110,7 +111,7 @@
 
 /// The part of a listener in numbers.
 struct Division {
-    memory_divisor: u64,
+    memory_percent: u64,
     socket_divisor: u64,
     /// Whether a connection holds the head of a request.
     is_http1: bool,
@@ -124,7 +125,7 @@
 impl Share {
     fn division(self) -> Division {
         let clients = Division {
-            memory_divisor: 2,
+            memory_percent: 40,
             socket_divisor: 2,
             is_http1: true,
             connection_memory: CLIENT_MEMORY,
@@ -133,14 +134,14 @@
         match self {
             Self::Callers => clients,
             Self::Peers => Division {
-                memory_divisor: 4,
+                memory_percent: 20,
                 socket_divisor: 4,
                 is_http1: false,
                 connection_memory: PEER_MEMORY,
                 connection_percent: 75,
             },
-            Self::Announcements => Division { memory_divisor: 4, socket_divisor: 8, ..clients },
-            Self::Probes => Division { memory_divisor: 32, socket_divisor: 32, ..clients },
+            Self::Announcements => Division { memory_percent: 25, socket_divisor: 8, ..clients },
+            Self::Probes => Division { memory_percent: 3, socket_divisor: 32, ..clients },
         }
     }
 }
