node: bound the length of a log line

What callers saw: nothing. A process whose output is read slowly kept up to 2,048 lines, and a line quotes the path of a request, up to the limit of a head: 33 MB at 16 KiB each.

Cause: the number of lines that wait was bounded, their length was not.

Change: a line is cut at 1,024 bytes and the cut is marked, so that 2 MB wait at most.

Why it works: a line is cut before it is queued.

Result: the new test fails without the cut (the function is new); it was seen by reading the account of what a client can make a process hold, not in a run.

--- a/crates/node/src/stdout_log.rs
+++ b/crates/node/src/stdout_log.rs
@@ -10,8 +10,10 @@
 use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle, Record};
 use snafu::{ResultExt, Snafu};
 
-/// Maximum number of lines that wait to be written; 400 KB at 200 bytes per line.
+/// Maximum number of lines that wait to be written; 2 MB with the longest lines.
 const MAX_QUEUED_LINES: usize = 2048;
+/// Maximum length of a line in bytes. Lines quote what clients send, such as a path.
+const MAX_LINE_BYTES: usize = 1024;
 /// Initial capacity of a line's buffer, which most lines fit into.
 const LINE_CAPACITY_BYTES: usize = 160;
 
@@ -80,7 +82,7 @@
             record.level(),
             record.args()
         );
-        if self.tx.try_send(line).is_err() {
+        if self.tx.try_send(bounded(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
@@ -91,6 +93,18 @@
     }
 }
 
+/// Cuts a line that is too long, and marks the cut.
+fn bounded(mut line: String) -> String {
+    const MARK: &str = " [cut]\n";
+    if line.len() > MAX_LINE_BYTES {
+        let end = (0..=MAX_LINE_BYTES - MARK.len()).rev().find(|end| line.is_char_boundary(*end));
+        line.truncate(end.unwrap_or(0));
+        line.push_str(MARK);
+        line.shrink_to_fit();
+    }
+    line
+}
+
 fn write_lines(rx: &Receiver<String>, dropped: &AtomicU64) {
     let mut out = std::io::stdout();
     while let Ok(mut text) = rx.recv() {
@@ -105,3 +119,6 @@
         let _ = out.write_all(text.as_bytes());
     }
 }
+
+#[cfg(test)]
+mod tests;
