dispatch: bound the tasks that an agent holds

What callers saw: nothing on the platform so far; an agent with a VM of 64 MiB held 92 and 129 MiB, and one of 128 MB would have ended soon after.

Cause: an agent takes each task that fits its endpoint, and a task that requests no resources always fits. Nothing bounded their number; 200 requests of a hundred bytes with 1,000 tasks each reached one agent.

Evidence: callers_jobs_of_many_tasks, found while drawing up the account of what a client can make a process hold.

Change: an agent holds at most a third of its memory in tasks, each with the largest payload (limits.memory / 3 / 6 KiB: 7,281 with 128 MiB). Tasks beyond are returned as not started, and its status says meanwhile that it takes none.

Why it works: the number is checked before the task is kept, and entries send no orders to an agent that takes none.

--- a/crates/dispatch/src/executor.rs
+++ b/crates/dispatch/src/executor.rs
@@ -50,6 +50,9 @@
     pub endpoint_lease: Duration,
     /// Longest lease that the endpoint grants.
     pub longest_lease: Duration,
+    /// Maximum number of tasks that are held, queued or started. Resources do not bound it: tasks may
+    /// request none.
+    pub max_tasks: usize,
     /// Name of the VM of the agent and its endpoint.
     pub vm: CompactString,
     /// Data centre of the agent and its endpoint.
@@ -273,6 +276,7 @@
             || self.is_evacuated
             || self.has_left
             || self.held.contains(&name)
+            || self.is_full()
             || self.endpoint.as_ref().is_none_or(|endpoint| {
                 endpoint.draining
                     || !endpoint.capacity.can_fit(order.resources)
@@ -288,6 +292,10 @@
         self.start_queued(now);
     }
 
+    fn is_full(&self) -> bool {
+        self.held.len() >= self.settings.max_tasks
+    }
+
     fn has_lease(&self, now: Duration, entry: &EntryId) -> bool {
         self.entry_leases.get(entry).is_some_and(|expires_at| now < *expires_at)
     }
--- a/crates/dispatch/src/executor/status.rs
+++ b/crates/dispatch/src/executor/status.rs
@@ -27,7 +27,7 @@
         let slowness = self.slowness(now);
         let (failure_rate, sample_count) = self.failures.mean(now);
         EndpointStatus {
-            usable: self.can_start(now),
+            usable: self.can_start(now) && !self.is_full(),
             service: endpoint.service.clone(),
             kind: endpoint.kind.clone(),
             rack: endpoint.rack.clone(),
--- a/crates/dispatch/tests/testsuite/evacuation/spread.rs
+++ b/crates/dispatch/tests/testsuite/evacuation/spread.rs
@@ -83,6 +83,7 @@
 impl Agent {
     fn new(number: usize, now: Duration) -> Self {
         let mut executor = Executor::new(ExecutorSettings {
+            max_tasks: 4000,
             entry_lease: SETTINGS.entry_lease,
             endpoint_lease: SETTINGS.endpoint_lease,
             longest_lease: ms(1000),
--- a/crates/dispatch/tests/testsuite/executor.rs
+++ b/crates/dispatch/tests/testsuite/executor.rs
@@ -21,6 +21,7 @@
 pub const START: Duration = Duration::from_secs(10);
 
 const SETTINGS: ExecutorSettings = ExecutorSettings {
+    max_tasks: 4000,
     entry_lease: Duration::from_millis(600),
     endpoint_lease: Duration::from_millis(500),
     longest_lease: Duration::from_millis(1000),
@@ -81,6 +82,20 @@
     executor
 }
 
+/// Tasks that request no resources fit an endpoint in any number.
+#[test]
+fn tasks_over_the_limit_are_returned() {
+    let mut executor = executor();
+    for index in 0..SETTINGS.max_tasks as u32 {
+        executor.on_order(START, order(index, 0, ms(500)));
+    }
+    assert_eq!(reported(&executor.take_actions()), []);
+    assert!(!executor.status(START).usable);
+    let next = SETTINGS.max_tasks as u32;
+    executor.on_order(START, order(next, 0, ms(500)));
+    assert_eq!(reported(&executor.take_actions()), [(run(next), RunStatus::NotStarted)]);
+}
+
 /// Returns the runs that a list of actions starts.
 pub fn starts(actions: &[ExecutorAction]) -> Vec<TaskRun> {
     let start = |action: &ExecutorAction| match action {
--- a/crates/dispatch/tests/testsuite/fleet.rs
+++ b/crates/dispatch/tests/testsuite/fleet.rs
@@ -53,6 +53,7 @@
 impl Host {
     fn new(number: usize, cpu_millis: u32) -> Self {
         let settings = ExecutorSettings {
+            max_tasks: 4000,
             entry_lease: SETTINGS.entry_lease,
             endpoint_lease: SETTINGS.endpoint_lease,
             longest_lease: ms(1000),
--- a/crates/dispatch/tests/testsuite/simulation.rs
+++ b/crates/dispatch/tests/testsuite/simulation.rs
@@ -150,6 +150,7 @@
 impl Simulation {
     fn new() -> Self {
         let settings = ExecutorSettings {
+            max_tasks: 4000,
             entry_lease: ms(600),
             endpoint_lease: ms(500),
             longest_lease: LONGEST_LEASE,
--- a/crates/node/src/agent/actor.rs
+++ b/crates/node/src/agent/actor.rs
@@ -17,7 +17,7 @@
 use cowslipwing_platform::EndpointError;
 use cowslipwing_proto::{self as proto, AgentFrame, AgentHello, EntryFrame};
 use cowslipwing_settings::PlatformConfig;
-use cowslipwing_types::{Clock, SortedMap};
+use cowslipwing_types::{ByteSize, Clock, SortedMap};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -152,6 +152,14 @@
     is_stopping: bool,
 }
 
+/// Returns the number of tasks that an agent holds at most: a third of its memory, with the largest
+/// payload for each.
+fn max_tasks(memory: ByteSize) -> usize {
+    const MEMORY_DIVISOR: u64 = 3;
+    const TASK_BYTES: u64 = 6 << 10;
+    usize::try_from(memory.bytes() / MEMORY_DIVISOR / TASK_BYTES).unwrap_or(usize::MAX)
+}
+
 impl Actor {
     pub(super) fn new(
         id: AgentId,
@@ -166,6 +174,7 @@
             entry_lease: ENTRY_LEASE,
             endpoint_lease: ENDPOINT_LEASE.min(config.longest_lease),
             longest_lease: config.longest_lease,
+            max_tasks: max_tasks(config.limits.memory),
             vm: config.node.as_str().into(),
             site: site.clone(),
         };
--- a/crates/testkit/tests/crowds/platform_entry.rs
+++ b/crates/testkit/tests/crowds/platform_entry.rs
@@ -1,5 +1,9 @@
 //! Crowds against the entry's listener for callers, and against its other HTTP listeners.
 
+use std::time::Duration;
+
+use cowslipwing_standin::platform::job_body;
+
 use crate::client::request;
 use crate::crowd::{BODY_BYTES, Crowd};
 use crate::platform::{CALLER_PORT, METRICS_PORT, Platform, READY_PORT, assert_served, post};
@@ -79,3 +83,28 @@
     }
     assert_served(address, 1).await;
 }
+
+/// Complete jobs with as many tasks as a job may have, which take long.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_jobs_of_many_tasks() {
+    let _alone = vm::alone().await;
+    let platform = Platform::start(115, vm::DESCRIPTORS).await;
+    let ip = platform.entry_ip(115);
+    let (entry, agent) = (platform.watch_entry(ip), platform.watch_agent(platform.agent_ip(115)));
+    let step = r#"{"count":1000,"estimatedRuntimeMs":8000}"#;
+    let body = format!(r#"{{"bestEffort":true,"taskSpec":"ms=8000 cpu=0","steps":[{step}]}}"#);
+    let address = vm::at(ip, CALLER_PORT);
+    let mut jobs = tokio::task::JoinSet::new();
+    for id in 0..200 {
+        let body = body.clone();
+        jobs.spawn(async move { request(address, &post(200 + id), body.as_bytes()).await });
+    }
+    jobs.join_all().await;
+    entry.check();
+    agent.check();
+    // The endpoint may still be ending runs of these jobs.
+    while let Ok((429 | 503, _)) = request(address, &post(1), &job_body(1, 50, 1000)).await {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    assert_served(address, 2).await;
+}
