node: count an open job for what was decoded from it

What callers saw: nothing. A body counted as held until the answer by its length, while its job grows with its tasks: a hundred bytes can state a thousand tasks.

Change: once decoded, a job counts for its payload, its steps and 512 bytes a task, until its answer. A job for which there is no room is refused with 503 before the scheduler sees it.

Why it works: the sum over all open jobs stays within the callers' part of the memory, as for bodies.

Suspected, not shown.

--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -4,14 +4,13 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use cowslipwing_dispatch::{Answer, JobSpec, RequestId};
+use cowslipwing_dispatch::{Answer, JobSpec, RequestId, StepSpec};
 use cowslipwing_platform::{
     CallerRequest, Reply, RequestError, RequestHead, check_head, check_task_size, decode_request,
     encode_answer, encode_error,
 };
-use cowslipwing_server::{
-    BodyError, ClientConnection, HeldBody, Listener, Refusal, Stage, read_body,
-};
+use cowslipwing_server::{BodyError, ClientConnection, Held, Listener, Refusal, Stage, read_body};
+use cowslipwing_types::ByteSize;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
@@ -88,8 +87,8 @@
 async fn serve_request(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
     let arrived_at = shared.now();
     let reply = match read_request(&shared, req).await {
-        // The body counts as held until the answer, for what was decoded from it.
-        Ok((request, _body)) => {
+        // A job counts as held until its answer.
+        Ok((request, _held)) => {
             let span = info_span!("serve");
             handle_request(&shared, request, arrived_at).instrument(span).await
         }
@@ -110,7 +109,7 @@
 async fn read_request(
     shared: &Shared,
     req: Request<Incoming>,
-) -> Result<(CallerRequest, Option<HeldBody>), RequestError> {
+) -> Result<(CallerRequest, Option<Held>), RequestError> {
     let (parts, body) = req.into_parts();
     let head =
         RequestHead { method: &parts.method, path: parts.uri.path(), headers: &parts.headers };
@@ -125,10 +124,26 @@
     let read = timeout(caller_timeout, read).await.map_err(|_| RequestError::BodyTimedOut)?;
     let body = read.map_err(body_error)?;
     let request = decode_request(&shared.route_table(), head, body.bytes())?;
-    if let CallerRequest::Submit(spec) = &request {
-        check_task_size(spec, shared.caller_limits.task_size())?;
-    }
-    Ok((request, Some(body)))
+    let CallerRequest::Submit(spec) = &request else {
+        return Ok((request, None));
+    };
+    check_task_size(spec, shared.caller_limits.task_size())?;
+    let held = body.into_held(job_memory(spec)).ok_or(RequestError::NoRoom)?;
+    Ok((request, Some(held)))
+}
+
+/// Returns the memory that an open job takes up, which grows with its tasks.
+fn job_memory(spec: &JobSpec) -> ByteSize {
+    /// Memory of a task in the scheduler, in its order and in the records of its run.
+    const TASK_BYTES: usize = 512;
+    let steps: usize = spec.steps.iter().map(step_bytes).sum();
+    ByteSize::new((spec.payload.len() + steps + spec.tasks() * TASK_BYTES) as u64)
+}
+
+fn step_bytes(step: &StepSpec) -> usize {
+    let names = [&step.required_label, &step.data_rack];
+    let names: usize = names.into_iter().flatten().map(|name| name.len()).sum();
+    size_of::<StepSpec>() + size_of_val(step.depends_on.as_slice()) + names
 }
 
 fn body_error(error: BodyError) -> RequestError {
