--- /dev/null
+++ b/crates/server/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of what clients of a listener see.
+
+mod refusals;
