soak: crowds of clients that send a part of a request and stay

Beside its ordinary callers, a run now has crowds of 20 to 119 clients at the entries, one after another: idle, empty lines, long heads, bodies and one-byte chunks that stop short, unread answers. Each process has a VM of 64 MiB; a process that ends by itself or has used more is a violation.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -56,6 +56,10 @@
     ConfigNotInForce(String),
     /// Too few requests after the recovery were served at their first attempt.
     NotRecovered(String),
+    /// A process ended without a signal.
+    EndedByItself(String),
+    /// A process used more memory than its VM has.
+    MemoryExceeded(String),
     /// Most long jobs after the recovery were not served at their first attempt.
     LongJobsNotServed(String),
 }
@@ -76,6 +80,8 @@
             Self::ConfigReverted(detail) => write!(f, "configuration reverted: {detail}"),
             Self::ConfigNotInForce(detail) => write!(f, "configuration not in force: {detail}"),
             Self::NotRecovered(detail) => write!(f, "service not recovered in time: {detail}"),
+            Self::EndedByItself(detail) => write!(f, "process ended by itself: {detail}"),
+            Self::MemoryExceeded(detail) => write!(f, "memory of the VM exceeded: {detail}"),
             Self::LongJobsNotServed(detail) => write!(f, "long jobs not served: {detail}"),
         }
     }
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -9,6 +9,7 @@
 use cowslipwing_standin::platform::{
     EndpointBehaviour, PlatformEndpoint, PlatformStore, RunLog, StoreBehaviour,
 };
+use cowslipwing_types::ByteSize;
 use hyper::Method;
 use nix::sys::signal::Signal;
 use serde_json::json;
@@ -21,6 +22,8 @@
 use crate::process::Daemon;
 use crate::proxy::{LinkBehaviour, Proxy};
 
+/// Memory of each VM.
+const MEMORY: ByteSize = ByteSize::new(64 << 20);
 /// Port on which entries and agents connect to an entry.
 const PEER_PORT: u16 = 7720;
 /// Port on which an entry serves callers.
@@ -113,7 +116,8 @@
             let settings = format!(
                 "role: {role}\nsite: z\nplatform:\n  node: {role}-{number}\n  ip: {ip}\n  \
                  peer_port: {PEER_PORT}\n  seeds: {seeds}\n  store: {store_address}\n  \
-                 {role_settings}\ntelemetry:\n  traces: \"off\"\n  log: info\n",
+                 {role_settings}\ntelemetry:\n  traces: \"off\"\n  log: info\nlimits:\n  \
+                 memory: {MEMORY}\n",
             );
             let path: PathBuf = dir.join(format!("{role}-{number}.yaml"));
             std::fs::write(&path, settings)?;
@@ -178,6 +182,24 @@
         *probe_routes
     }
 
+    /// Describes the processes that have ended by themselves.
+    pub(crate) fn unexpected_ends(&self) -> Vec<String> {
+        let ends = (0..self.daemons.len()).filter_map(|process| {
+            let end = self.daemon(process).end_without_signal()?;
+            Some(format!("process {process}: {end}"))
+        });
+        ends.collect()
+    }
+
+    /// Describes the processes that have used more memory than their VM has.
+    pub(crate) fn memory_excesses(&self) -> Vec<String> {
+        let excesses = (0..self.daemons.len()).filter_map(|process| {
+            let peak = ByteSize::new(self.daemon(process).peak_kib() << 10);
+            (peak > MEMORY).then(|| format!("process {process}: {peak} of {MEMORY}"))
+        });
+        excesses.collect()
+    }
+
     /// Injects a fault and ends it after its duration.
     pub(crate) async fn inject(&self, fault: Fault) {
         match fault {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod check;
 mod cluster;
+mod crowd;
 mod load;
 mod plan;
 mod process;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -10,8 +10,9 @@
 use snafu::{ResultExt, Snafu};
 use tokio::time::{sleep, sleep_until};
 
-use crate::check::{PlannedStop, Report, STOP_MARGIN, Timeline, check};
+use crate::check::{PlannedStop, Report, STOP_MARGIN, Timeline, Violation, check};
 use crate::cluster::Cluster;
+use crate::crowd::press;
 use crate::load::{LoadSettings, Observations, probe_routes, submit_jobs};
 use crate::plan::{Fault, FaultPlan, ScheduledFault};
 
@@ -108,11 +109,12 @@
             until,
         },
     );
+    let crowds = press(cluster.clone(), settings.seed, started_at + settings.fault_period);
     let publish_late = async {
         sleep_until((faults_end + RECOVERY_TIME / 2).into()).await;
         (Instant::now(), cluster.publish())
     };
-    let ((), last_publication) = tokio::join!(load, publish_late);
+    let ((), (), last_publication) = tokio::join!(load, crowds, publish_late);
     // Propagates a panic of the fault injector.
     faults.await.expect("the task that injects faults does not panic");
     probes.shutdown().await;
@@ -127,7 +129,10 @@
     let probes =
         observations.probes.lock().expect("the mutex of the probes is never poisoned").clone();
     let (run_events, overcommitted) = (cluster.run_log.events(), cluster.run_log.overcommitted());
-    Ok(check(&requests, &probes, &run_events, &overcommitted, &timeline))
+    let mut report = check(&requests, &probes, &run_events, &overcommitted, &timeline);
+    report.violations.extend(cluster.unexpected_ends().into_iter().map(Violation::EndedByItself));
+    report.violations.extend(cluster.memory_excesses().into_iter().map(Violation::MemoryExceeded));
+    Ok(report)
 }
 
 async fn wait_ready(cluster: &Cluster) -> Result<(), SoakError> {
