policy: learn no run time for kinds with long names

Callers choose the names of kinds, of which 4,096 are remembered; a name was bounded by the body alone, 4 MiB. Kinds of more than 256 bytes keep the declared run time. Seen by reading, not in a run.

--- a/crates/policy/src/estimate.rs
+++ b/crates/policy/src/estimate.rs
@@ -9,6 +9,8 @@
 const SAMPLE_WEIGHT: f64 = 0.1;
 /// Estimate for a kind that has no sample and no declared run time.
 const DEFAULT_RUN_TIME: Duration = Duration::from_millis(200);
+/// Maximum length of a kind whose run time is learned, in bytes. Callers choose the names.
+const MAX_KIND_BYTES: usize = 256;
 /// Maximum number of kinds of task remembered, over all customers. Further kinds are not recorded.
 const MAX_KINDS: usize = 4096;
 
@@ -46,7 +48,8 @@
     /// Adds the run time of a task that succeeded to the average of its kind.
     pub fn observe(&mut self, customer: &CustomerName, kind: &str, run_time: Duration) {
         let key = (customer.clone(), CompactString::from(kind));
-        if self.seconds.len() >= MAX_KINDS && !self.seconds.contains(&key) {
+        let is_full = self.seconds.len() >= MAX_KINDS && !self.seconds.contains(&key);
+        if is_full || kind.len() > MAX_KIND_BYTES {
             return;
         }
         let seconds = run_time.as_secs_f64();
