server: let a peer keep many calls open

What callers saw: nothing; it was found by reading before it landed anywhere. The new listeners bounded the calls on a connection to 64, where there was no bound before. Another entry of the own interface forwards a job as a call until its answer, so that 64 slow jobs would have delayed all others between two entries.

Change: 1,024 calls, each of which counts 4 KiB; calls do not make a connection a large one, only messages do.

Result: a_peer_with_many_calls_keeps_its_place passes; 8 tests of the connections.

--- a/crates/dispatch/src/connections.rs
+++ b/crates/dispatch/src/connections.rs
@@ -118,6 +118,8 @@
     transferred: u64,
     /// Bytes held.
     memory: u64,
+    /// Those of them that the connection and its open calls hold without any message.
+    base: u64,
 }
 
 /// The open connections of a listener. Times count from any fixed point.
@@ -199,6 +201,7 @@
             last_progress: now,
             transferred: 0,
             memory,
+            base: memory,
         };
         self.connections.insert(id, connection);
         Room::Granted(id, closed)
@@ -221,6 +224,23 @@
         Room::Granted((), closed)
     }
 
+    /// Counts what a connection holds for an open call, which does not make it a large one.
+    pub fn reserve_call(&mut self, now: Duration, id: ConnectionId, memory: ByteSize) -> Room<()> {
+        let room = self.reserve(now, id, memory);
+        if let (Room::Granted(..), Some(connection)) = (&room, self.connections.get_mut(&id)) {
+            connection.base += memory.bytes();
+        }
+        room
+    }
+
+    /// Ends an open call and takes its memory off.
+    pub fn release_call(&mut self, id: ConnectionId, memory: ByteSize) {
+        self.release(id, memory);
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.base = connection.base.saturating_sub(memory.bytes());
+        }
+    }
+
     /// Takes memory off what a connection holds.
     pub fn release(&mut self, id: ConnectionId, memory: ByteSize) {
         if let Some(connection) = self.connections.get_mut(&id) {
--- a/crates/dispatch/src/connections/victim.rs
+++ b/crates/dispatch/src/connections/victim.rs
@@ -77,8 +77,8 @@
 ) -> Option<Rank> {
     let lag = Reverse(connection.lag(now, limits.min_rate));
     let idle = Reverse(now.saturating_sub(connection.last_progress));
-    // Open calls hold less than the connection by itself; more is an unfinished message.
-    let is_small = connection.memory <= 2 * limits.open_memory();
+    let messages = connection.memory.saturating_sub(connection.base);
+    let is_small = messages <= limits.open_memory();
     match connection.phase {
         ConnectionPhase::Serving => None,
         ConnectionPhase::Closing => Some(Rank::Closing(idle)),
--- a/crates/dispatch/tests/testsuite/connections.rs
+++ b/crates/dispatch/tests/testsuite/connections.rs
@@ -238,6 +238,21 @@
     assert_eq!(table.phase(new), Some(ConnectionPhase::Serving));
 }
 
+/// Another entry forwards jobs, each of which is a call until its answer.
+#[test]
+fn a_peer_with_many_calls_keeps_its_place() {
+    let call = ByteSize::new(4096);
+    let mut table = ConnectionTable::new(ConnectionLimits { connections: 1, ..limits() });
+    let peer = connect(&mut table, ms(0), ConnectionPhase::Stream);
+    for _ in 0..200 {
+        assert!(matches!(table.reserve_call(ms(0), peer, call), Room::Granted(..)));
+    }
+    assert!(open(&mut table, ms(500)).is_none(), "the peer is in touch");
+    assert!(matches!(table.reserve(ms(500), peer, ByteSize::new(MIB)), Room::Granted(..)));
+    let closed = open(&mut table, ms(500)).map(|(_, closed)| closed);
+    assert_eq!(closed, Some(vec![peer]), "it holds a large message");
+}
+
 #[test]
 fn a_request_does_not_take_the_room_of_smaller_ones() {
     let mut table =
--- a/crates/server/src/account.rs
+++ b/crates/server/src/account.rs
@@ -117,7 +117,24 @@
     pub(crate) fn reserve(&self, id: ConnectionId, memory: ByteSize) -> bool {
         let now = self.now();
         let mut state = self.state();
-        match state.table.reserve(now, id, memory) {
+        let room = state.table.reserve(now, id, memory);
+        self.on_reserved(state, room)
+    }
+
+    /// Adds what an open call holds; returns whether there is room.
+    pub(crate) fn reserve_call(&self, id: ConnectionId, memory: ByteSize) -> bool {
+        let now = self.now();
+        let mut state = self.state();
+        let room = state.table.reserve_call(now, id, memory);
+        self.on_reserved(state, room)
+    }
+
+    pub(crate) fn release_call(&self, id: ConnectionId, memory: ByteSize) {
+        self.state().table.release_call(id, memory);
+    }
+
+    fn on_reserved(&self, mut state: MutexGuard<'_, State>, room: Room<()>) -> bool {
+        match room {
             Room::Granted((), closed) => {
                 self.close_all(&mut state, closed, CloseReason::MakesRoom);
                 true
--- a/crates/server/src/connection.rs
+++ b/crates/server/src/connection.rs
@@ -31,6 +31,12 @@
         held.resize(memory).then_some(held)
     }
 
+    /// Counts an open call; returns `None` if there is no room.
+    pub(crate) fn open_call(self: &Arc<Self>, memory: ByteSize) -> Option<OpenCall> {
+        let connection = self.clone();
+        self.account.reserve_call(self.id, memory).then_some(OpenCall { connection, memory })
+    }
+
     /// Records that the request has arrived completely.
     pub fn begin_serving(&self) {
         self.set_phase(ConnectionPhase::Serving);
@@ -96,3 +102,15 @@
         self.connection.account.release(self.connection.id, self.memory);
     }
 }
+
+/// Memory that an open call holds beside its messages, given back when this is dropped.
+pub(crate) struct OpenCall {
+    connection: Arc<ClientConnection>,
+    memory: ByteSize,
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.connection.account.release_call(self.connection.id, self.memory);
+    }
+}
--- a/crates/server/src/http2.rs
+++ b/crates/server/src/http2.rs
@@ -18,8 +18,8 @@
 use crate::message::MessageBody;
 use crate::stream::CountedStream;
 
-/// Maximum number of concurrent calls on a connection.
-const MAX_CALLS: u32 = 64;
+/// Maximum number of concurrent calls on a connection. A forwarded job is a call until its answer.
+const MAX_CALLS: u32 = 1024;
 /// Bytes that a peer may send before they are read, for a call and for a connection.
 const CALL_WINDOW_BYTES: u32 = 128 << 10;
 const CONNECTION_WINDOW_BYTES: u32 = 256 << 10;
--- a/crates/server/src/message.rs
+++ b/crates/server/src/message.rs
@@ -9,17 +9,19 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
 use crate::body::BodyError;
-use crate::connection::{ClientConnection, Held};
+use crate::connection::{ClientConnection, Held, OpenCall};
 use crate::refusal::Refusal;
 
 /// Bytes before each message: a flag, and the length of the message in big-endian order.
 const PREFIX_BYTES: usize = 5;
 /// Memory that a call holds beside its messages.
-const CALL_MEMORY: u64 = 4096;
+const CALL_MEMORY: ByteSize = ByteSize::new(4096);
 
 /// Passes a body on, and counts the bytes of the message that is not complete yet.
 pub struct MessageBody {
     body: Incoming,
+    _call: OpenCall,
+    /// Bytes of the message that is not complete.
     held: Held,
     prefix: Vec<u8>,
     /// Bytes of the message that have arrived, and that are still missing.
@@ -30,8 +32,9 @@
 impl MessageBody {
     /// Wraps the body of a call; returns `None` if there is no room for another call.
     pub fn new(connection: &Arc<ClientConnection>, body: Incoming) -> Option<Self> {
-        let held = connection.reserve(ByteSize::new(CALL_MEMORY))?;
-        Some(Self { body, held, prefix: Vec::new(), arrived: 0, missing: 0 })
+        let call = connection.open_call(CALL_MEMORY)?;
+        let held = connection.reserve(ByteSize::new(0))?;
+        Some(Self { body, _call: call, held, prefix: Vec::new(), arrived: 0, missing: 0 })
     }
 
     /// Follows the messages in a part of the body.
@@ -53,7 +56,7 @@
             }
         }
         let incomplete = if self.missing > 0 { self.arrived } else { 0 };
-        self.held.resize(ByteSize::new(CALL_MEMORY + incomplete))
+        self.held.resize(ByteSize::new(incomplete))
     }
 }
 
