daemon: bound the memory of open jobs

An entry of the own interface kept any open job within limits.open_jobs, 10,000 of up to 4 MiB each, also after its caller had left.

Cause: open jobs were bounded by number and by contract, and nothing bounded their sum against the VM's memory.

Change: submissions count with their text and 512 bytes a task, counted before the check, against 15% of limits.memory. A job beyond is refused with 503 open_jobs_too_large and a time to come back, before it is opened.

Why it works: the decision stands in AdmissionCheck; the count is given back when the job is dropped, by whichever way.

--- a/crates/daemon/src/api_error.rs
+++ b/crates/daemon/src/api_error.rs
@@ -288,6 +288,7 @@
         Refusal::NoTasks => "no_tasks",
         Refusal::TooManyTasks { .. } => "too_many_tasks",
         Refusal::TooManyOpenJobs { .. } => "too_many_open_jobs",
+        Refusal::OpenJobsTooLarge { .. } => "open_jobs_too_large",
         Refusal::ContractExhausted { .. } => "contract_exhausted",
         Refusal::NeverFits { .. } => "never_fits",
         Refusal::DeadlineOutOfReach { .. } => "deadline_out_of_reach",
@@ -299,6 +300,8 @@
         Refusal::NoTasks | Refusal::TooManyTasks { .. } => 400,
         Refusal::NeverFits { .. } => 422,
         Refusal::ContractExhausted { .. } => 429,
-        Refusal::TooManyOpenJobs { .. } | Refusal::DeadlineOutOfReach { .. } => 503,
+        Refusal::TooManyOpenJobs { .. }
+        | Refusal::OpenJobsTooLarge { .. }
+        | Refusal::DeadlineOutOfReach { .. } => 503,
     }
 }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -8,6 +8,7 @@
 mod forward;
 mod handover;
 mod http;
+mod job_memory;
 mod jobs;
 mod lease;
 mod link;
--- a/crates/daemon/src/entry/jobs.rs
+++ b/crates/daemon/src/entry/jobs.rs
@@ -11,6 +11,7 @@
 use cowslipwing_types::{BatchName, JobId, RangeId, TaskId, TaskIndex, to_millis};
 use tokio::sync::oneshot;
 
+use super::job_memory::JobMemory;
 use super::shard::{EndedJob, OpenJob, Reply, ServingState, Shard};
 use super::shared::{QueueItem, Shared, lock, name_of};
 use super::submission::{CheckedSubmission, declared_run_time, max_requirements, terms_of};
@@ -115,7 +116,9 @@
     let terms = terms_of(shared, &checked.job.customer)?;
     let tasks = &checked.submission.tasks;
     let time_left = checked.deadline.duration_since(wall).unwrap_or_default();
-    let cost = admit(shared, checked, &terms, time_left)?;
+    // Counted before the check, so that submissions at the same time do not all pass it.
+    let memory = JobMemory::new(&shared.open_job_bytes, &checked.submission);
+    let cost = admit(shared, checked, &terms, time_left, &memory)?;
     let count = tasks.len() as u32;
     let mut job = Job::new(checked.job.clone(), checked.fingerprint, count, now + time_left);
     job.recover(now, freshness, recovery);
@@ -135,6 +138,7 @@
     shared.metrics.count("entry.jobs.opened", 1);
     let opened = OpenJob {
         job,
+        _memory: memory,
         submission: checked.submission.clone(),
         requirements,
         traceparent: checked.traceparent.clone(),
@@ -164,6 +168,7 @@
     checked: &CheckedSubmission,
     terms: &Terms,
     time_left: Duration,
+    memory: &JobMemory,
 ) -> Result<Duration, ApiError> {
     let tasks = &checked.submission.tasks;
     let dispatch = lock(&shared.dispatch);
@@ -180,6 +185,8 @@
     let entries = shared.members().len() as u32;
     let admission = AdmissionCheck {
         open_jobs: shared.open_jobs.load(Ordering::Relaxed),
+        open_memory: memory.others,
+        job_memory: memory.own,
         customer_open_jobs: dispatch.open_jobs_of(&checked.job.customer),
         queue_delay: dispatch.dispatcher.queue_delay(
             &checked.job.customer,
--- a/crates/daemon/src/entry/shard.rs
+++ b/crates/daemon/src/entry/shard.rs
@@ -9,6 +9,8 @@
 use cowslipwing_types::{Epoch, JobId, SortedMap};
 use tokio::sync::oneshot;
 
+use super::job_memory::JobMemory;
+
 /// The message to a caller that waits for a job.
 #[derive(Clone, Debug)]
 pub(crate) enum Reply {
@@ -33,6 +35,8 @@
 /// A job that has no final answer yet.
 pub(crate) struct OpenJob {
     pub(crate) job: Job,
+    /// Counts the job's memory while it is open.
+    pub(crate) _memory: JobMemory,
     pub(crate) submission: Arc<JobSubmission>,
     /// Resources that each task of the job requires.
     pub(crate) requirements: Requirements,
--- a/crates/daemon/src/entry/shared.rs
+++ b/crates/daemon/src/entry/shared.rs
@@ -159,6 +159,8 @@
     shards: Vec<Mutex<Shard>>,
     /// Number of jobs that are open at this entry.
     pub(crate) open_jobs: AtomicU32,
+    /// Memory of the submissions of these jobs, in bytes.
+    pub(crate) open_job_bytes: Arc<AtomicU64>,
     /// Number of submissions and forwarded requests in flight.
     pub(crate) requests_in_flight: AtomicU32,
     stopping: AtomicBool,
@@ -218,6 +220,7 @@
             last_transfer_serial: AtomicU64::new(0),
             shards: (0..RANGES).map(|_| Mutex::new(Shard::new())).collect(),
             open_jobs: AtomicU32::new(0),
+            open_job_bytes: Arc::default(),
             requests_in_flight: AtomicU32::new(0),
             stopping: AtomicBool::new(false),
             dispatch_wakeup: Notify::new(),
--- a/crates/load/src/credits.rs
+++ b/crates/load/src/credits.rs
@@ -12,7 +12,7 @@
     AdmissionCheck, Capacity, CreditIssuer, Dispatcher, JobLimits, QueuedJob, Requirements,
     TaskResult,
 };
-use cowslipwing_types::{CustomerName, EntryId, Incarnation};
+use cowslipwing_types::{ByteSize, CustomerName, EntryId, Incarnation};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -26,7 +26,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Length of a worker's queue as a fraction of its slots.
 const QUEUE_FRACTION: f64 = 0.0;
-const LIMITS: JobLimits = JobLimits { tasks_per_job: 1000, open_jobs: 1 };
+const LIMITS: JobLimits =
+    JobLimits { tasks_per_job: 1000, open_jobs: 1, open_memory: ByteSize::new(1 << 20) };
 const CUSTOMERS: [&str; 2] = ["modest", "greedy"];
 
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -191,6 +192,8 @@
         );
         let admission = AdmissionCheck {
             open_jobs: 0,
+            open_memory: ByteSize::new(0),
+            job_memory: ByteSize::new(0),
             customer_open_jobs: 0,
             queue_delay,
             longest_task: cost,
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -4,6 +4,7 @@
 
 use compact_str::CompactString;
 use cowslipwing_fold::Terms;
+use cowslipwing_types::ByteSize;
 use snafu::Snafu;
 
 /// Shortest retry interval given to callers whose job is refused for lack of capacity.
@@ -16,6 +17,8 @@
     pub tasks_per_job: u32,
     /// Maximum number of jobs open at the same time, over all customers.
     pub open_jobs: u32,
+    /// Maximum memory of the submissions of all open jobs.
+    pub open_memory: ByteSize,
 }
 
 /// The reason why a job is refused. None of the job's tasks has been started.
@@ -42,6 +45,18 @@
         /// Time to wait before a retry.
         retry_after: Duration,
     },
+    /// The open jobs of the entry and this one would hold too much memory.
+    #[snafu(display(
+        "the open jobs of this entry hold {held} of {limit}; retry in {retry_after:?}"
+    ))]
+    OpenJobsTooLarge {
+        /// Memory that the open jobs hold.
+        held: ByteSize,
+        /// Maximum memory that they may hold.
+        limit: ByteSize,
+        /// Time to wait before a retry.
+        retry_after: Duration,
+    },
     /// The customer has reached its contract's limit of open jobs.
     #[snafu(display(
         "the contract allows {limit} open jobs; come back in {retry_after:?} or amend it"
@@ -79,6 +94,7 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::TooManyOpenJobs { retry_after, .. }
+            | Self::OpenJobsTooLarge { retry_after, .. }
             | Self::ContractExhausted { retry_after, .. }
             | Self::DeadlineOutOfReach { retry_after, .. } => Some(*retry_after),
             Self::NoTasks | Self::TooManyTasks { .. } | Self::NeverFits { .. } => None,
@@ -94,6 +110,10 @@
 pub struct AdmissionCheck {
     /// Number of jobs open at this entry.
     pub open_jobs: u32,
+    /// Memory of the submissions of these jobs.
+    pub open_memory: ByteSize,
+    /// Memory of this job's submission.
+    pub job_memory: ByteSize,
     /// Number of the customer's jobs open at this entry.
     pub customer_open_jobs: u32,
     /// Estimated time until the job's last task would start.
@@ -122,6 +142,7 @@
     /// use std::time::Duration;
     /// use cowslipwing_fold::Terms;
     /// use cowslipwing_policy::{AdmissionCheck, JobLimits, Refusal};
+    /// use cowslipwing_types::ByteSize;
     ///
     /// let terms = Terms {
     ///     share: 1,
@@ -130,9 +151,12 @@
     ///     refusals: "5%".parse().unwrap(),
     ///     open_jobs: 10,
     /// };
-    /// let limits = JobLimits { tasks_per_job: 1000, open_jobs: 100 };
+    /// let open_memory = ByteSize::new(1 << 20);
+    /// let limits = JobLimits { tasks_per_job: 1000, open_jobs: 100, open_memory };
     /// let admission = AdmissionCheck {
     ///     open_jobs: 0,
+    ///     open_memory: ByteSize::new(0),
+    ///     job_memory: ByteSize::new(1000),
     ///     customer_open_jobs: 0,
     ///     queue_delay: Duration::ZERO,
     ///     longest_task: Duration::from_millis(50),
@@ -140,6 +164,9 @@
     /// };
     /// assert_eq!(admission.check(1, &terms, &limits), Ok(()));
     /// assert_eq!(admission.check(0, &terms, &limits), Err(Refusal::NoTasks));
+    /// let beside_large_jobs = AdmissionCheck { open_memory, ..admission };
+    /// let refused = beside_large_jobs.check(1, &terms, &limits);
+    /// assert!(matches!(refused, Err(Refusal::OpenJobsTooLarge { .. })));
     /// ```
     pub fn check(&self, tasks: u32, terms: &Terms, limits: &JobLimits) -> Result<(), Refusal> {
         if tasks == 0 {
@@ -152,6 +179,12 @@
             let retry_after = MIN_RETRY_AFTER;
             return TooManyOpenJobsSnafu { limit: limits.open_jobs, retry_after }.fail();
         }
+        let memory = self.open_memory.bytes().saturating_add(self.job_memory.bytes());
+        if memory > limits.open_memory.bytes() {
+            let (held, limit, retry_after) =
+                (self.open_memory, limits.open_memory, MIN_RETRY_AFTER);
+            return OpenJobsTooLargeSnafu { held, limit, retry_after }.fail();
+        }
         if self.customer_open_jobs >= terms.open_jobs {
             let retry_after = MIN_RETRY_AFTER;
             return ContractExhaustedSnafu { limit: terms.open_jobs, retry_after }.fail();
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -224,10 +224,17 @@
         body: size_or_default("limits.body", &raw.body, "4MiB")?,
         answer: size_or_default("limits.answer", &raw.answer, "64KiB")?,
         connections: count_or_default("limits.connections", raw.connections, 1024)?,
-        jobs: JobLimits { tasks_per_job, open_jobs },
+        jobs: JobLimits { tasks_per_job, open_jobs, open_memory: open_job_memory(memory) },
     })
 }
 
+/// Returns the part of the memory that the submissions of open jobs may take up. Of the rest, 60% are
+/// for connections.
+fn open_job_memory(memory: ByteSize) -> ByteSize {
+    const PERCENT: u64 = 15;
+    ByteSize::new(memory.bytes() / 100 * PERCENT)
+}
+
 fn validate_head(text: &str) -> SettingsResult<ByteSize> {
     let head = size_or_default("limits.head", text, "16KiB")?;
     if !(MIN_HEAD..=MAX_HEAD).contains(&head) {
