server: take the limits from the settings, and name events once

Listeners read LimitConfig in place of a copy of it, and both daemons count events by the names of AccountCounts. Idle connections that are closed after limits.idle_timeout are no longer counted and logged as clients without progress.

--- a/crates/daemon/src/net.rs
+++ b/crates/daemon/src/net.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cowslipwing_server::{Account, AccountCounts, Listener, ProcessLimits, Refusal, Report, Share};
+use cowslipwing_server::{Account, AccountCounts, Listener, Refusal, Report, Share};
 use cowslipwing_settings::LimitConfig;
 use cowslipwing_types::{Clock, EntryId};
 use snafu::{ResultExt, Snafu};
@@ -62,7 +62,7 @@
     process: &Process<'_>,
 ) -> Result<(Listener, SocketAddr), StartError> {
     let context = CannotListenSnafu { setting, address };
-    let limits = ProcessLimits::from(process.limits).connections(share);
+    let limits = share.connection_limits(process.limits);
     let account = Account::new(limits, process.clock.clone());
     let report = report(process.metrics.clone());
     let listener = Listener::bind(setting, address, account, encode_refusal, report);
@@ -90,14 +90,7 @@
         let usage = account.usage();
         metrics.gauge(&format!("{listener}.connections"), usage.connections as u64);
         metrics.gauge(&format!("{listener}.held_bytes"), usage.memory.bytes());
-        let events = [
-            ("connections_refused", counts.refused_connections),
-            ("requests_no_room", counts.refused_requests),
-            ("connections_made_room", counts.made_room),
-            ("connections_timed_out", counts.timed_out),
-            ("accept_failures", counts.accept_failures),
-        ];
-        for (event, count) in events.into_iter().filter(|(_, count)| *count > 0) {
+        for (event, count) in counts.events() {
             metrics.count(&format!("{listener}.{event}"), count);
         }
         if counts != AccountCounts::default() {
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -12,7 +12,7 @@
 };
 use cowslipwing_platform::{StoreClient, TaskSizeLimits, decode_config};
 use cowslipwing_proto::EntryFrame;
-use cowslipwing_server::{Account, ProcessLimits};
+use cowslipwing_server::Account;
 use cowslipwing_settings::{LimitConfig, PlatformConfig};
 use cowslipwing_types::{ByteSize, Clock, SortedMap, to_millis};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -57,7 +57,7 @@
 pub(super) struct CallerLimits {
     account: Arc<Account>,
     /// Limits that a configuration does not state.
-    settings: ProcessLimits,
+    settings: LimitConfig,
     task_size: TaskSizeLimits,
 }
 
@@ -68,7 +68,7 @@
             max_payload_bytes: bytes(limits.payload),
             max_label_bytes: bytes(limits.label),
         };
-        Self { account, settings: limits.into(), task_size }
+        Self { account, settings: *limits, task_size }
     }
 
     pub(super) fn task_size(&self) -> TaskSizeLimits {
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use cowslipwing_server::{Account, Listener, ProcessLimits, Refusal, Report, Share, Stage};
+use cowslipwing_server::{Account, AccountCounts, Listener, Refusal, Report, Share, Stage};
 use cowslipwing_settings::LimitConfig;
 use cowslipwing_types::Clock;
 use http_body_util::Full;
@@ -36,19 +36,19 @@
 
 /// Binds the listeners of a process.
 pub(crate) struct Listeners {
-    limits: ProcessLimits,
+    limits: LimitConfig,
     clock: Arc<dyn Clock>,
     metrics: Arc<Metrics>,
 }
 
 impl Listeners {
     pub(crate) fn new(limits: &LimitConfig, clock: Arc<dyn Clock>, metrics: Arc<Metrics>) -> Self {
-        Self { limits: limits.into(), clock, metrics }
+        Self { limits: *limits, clock, metrics }
     }
 
     /// Returns an account for a listener with a share of the process.
     pub(crate) fn account(&self, share: Share) -> Arc<Account> {
-        Account::new(self.limits.connections(share), self.clock.clone())
+        Account::new(share.connection_limits(&self.limits), self.clock.clone())
     }
 
     /// Binds a listener to an address, which the setting `key` holds. Reports name it `name`.
@@ -75,17 +75,10 @@
     Arc::new(move |name, account, counts| {
         let usage = account.usage();
         metrics.set_connections(name, usage.connections, usage.memory.bytes());
-        let events = [
-            ("connection_refused", counts.refused_connections),
-            ("request_no_room", counts.refused_requests),
-            ("connection_made_room", counts.made_room),
-            ("connection_timed_out", counts.timed_out),
-            ("accept_failed", counts.accept_failures),
-        ];
-        for (event, count) in events.into_iter().filter(|(_, count)| *count > 0) {
+        for (event, count) in counts.events() {
             metrics.count_many(event, count);
         }
-        if events.iter().any(|(_, count)| *count > 0) {
+        if counts != AccountCounts::default() {
             let limits = account.limits();
             log::warn!(
                 "http: event=clients-refused listener={name} connections={}/{} memory={}/{} \
--- a/crates/server/src/account.rs
+++ b/crates/server/src/account.rs
@@ -39,12 +39,35 @@
     pub refused_requests: u64,
     /// Connections that were closed to make room.
     pub made_room: u64,
-    /// Connections that were closed because they made no progress.
+    /// Connections that were closed because their request, or the answer to it, made no progress.
     pub timed_out: u64,
     /// Attempts to accept a connection that failed for lack of a descriptor or of memory.
     pub accept_failures: u64,
 }
 
+impl AccountCounts {
+    /// Returns the events that have happened, by the names that metrics give them.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cowslipwing_server::AccountCounts;
+    ///
+    /// let counts = AccountCounts { timed_out: 2, ..AccountCounts::default() };
+    /// assert_eq!(counts.events().collect::<Vec<_>>(), [("connection_timed_out", 2)]);
+    /// ```
+    pub fn events(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        let events = [
+            ("connection_refused", self.refused_connections),
+            ("request_no_room", self.refused_requests),
+            ("connection_made_room", self.made_room),
+            ("connection_timed_out", self.timed_out),
+            ("accept_failed", self.accept_failures),
+        ];
+        events.into_iter().filter(|(_, count)| *count > 0)
+    }
+}
+
 #[derive(Default)]
 struct Counts {
     refused_connections: AtomicU64,
@@ -202,11 +225,15 @@
 
     fn close_all(&self, state: &mut State, closed: Vec<ClosedConnection>, reason: CloseReason) {
         for ClosedConnection { id, phase } in closed {
-            let count = match reason {
-                CloseReason::MakesRoom => &self.counts.made_room,
-                CloseReason::TimedOut => &self.counts.timed_out,
+            let count = match (reason, phase) {
+                // The end of an idle connection is nothing unusual.
+                (_, ConnectionPhase::Closing) | (CloseReason::TimedOut, ConnectionPhase::Idle) => {
+                    None
+                }
+                (CloseReason::MakesRoom, _) => Some(&self.counts.made_room),
+                (CloseReason::TimedOut, _) => Some(&self.counts.timed_out),
             };
-            if phase != ConnectionPhase::Closing {
+            if let Some(count) = count {
                 count.fetch_add(1, Ordering::Relaxed);
             }
             if let Some(closer) = state.closers.get(&id) {
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -23,4 +23,4 @@
 pub use http2::CallService;
 pub use message::MessageBody;
 pub use refusal::{EncodeRefusal, Refusal};
-pub use share::{ProcessLimits, Share};
+pub use share::Share;
