server: send no answer to an idle client

What callers saw: nothing yet; found by reading. A client that keeps a connection for its next request got 408 after limits.idle_timeout, or 503 when its place was needed, and would have taken it for the answer to that request.

Cause: a connection that is told to close was answered in the same way, with and without a request.

Change: an idle connection is closed without an answer, unless bytes of a request have arrived that were not read yet.

Why it works: HTTP lets a server close an idle connection, and clients send the request again on another one.

--- a/crates/server/src/http1.rs
+++ b/crates/server/src/http1.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cowslipwing_dispatch::{CloseReason, ConnectionPhase};
+use cowslipwing_dispatch::ConnectionPhase;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
@@ -53,7 +53,7 @@
     // Buffers are allocated once there is something to read.
     tokio::select! {
         ready = stream.readable() => if ready.is_err() { return },
-        (reason, _) = connection.closing() => return refuse(&stream, reason, encode).await,
+        order = connection.closing() => return refuse(&stream, order, encode).await,
         () = wait_until_closing(&mut stage) => return,
     }
     let service = {
@@ -105,32 +105,38 @@
                 _ = connection.closing() => {}
             }
         }
-        Ended::Closed((reason, ConnectionPhase::Head | ConnectionPhase::Idle)) => {
+        Ended::Closed(order @ (_, ConnectionPhase::Head | ConnectionPhase::Idle)) => {
             drop(http);
-            refuse(&stream, reason, encode).await;
+            refuse(&stream, order, encode).await;
         }
         Ended::Closed((_, ConnectionPhase::Body)) => {
             // The handler stops to read the body and answers.
             let answered = poll_fn(|cx| http.poll_without_shutdown(cx));
             let _ = timeout(LAST_ANSWER_TIMEOUT, answered).await;
             drop(http);
-            linger_while_sending(&stream).await;
+            if has_unread_bytes(&stream) {
+                linger_briefly(&stream).await;
+            }
         }
         Ended::Closed(_) => {}
     }
 }
 
-/// Answers a request whose head has not arrived completely. A client without a request only sees the
-/// connection close.
-async fn refuse(stream: &TcpStream, reason: CloseReason, encode: EncodeRefusal) {
+/// Answers a request whose head has not arrived completely. A client without a request only sees its
+/// connection close, since it would take an answer for that to its next request.
+async fn refuse(stream: &TcpStream, (reason, phase): CloseOrder, encode: EncodeRefusal) {
+    let is_sending = has_unread_bytes(stream);
+    if phase == ConnectionPhase::Idle && !is_sending {
+        return;
+    }
     refusal::write(stream, reason.into(), encode);
-    linger_while_sending(stream).await;
+    if is_sending {
+        linger_briefly(stream).await;
+    }
 }
 
 /// Gives a client that is still sending the time to read its answer.
-async fn linger_while_sending(stream: &TcpStream) {
-    if has_unread_bytes(stream) {
-        // A client that does not stop by then is disconnected.
-        let _ = timeout(LAST_ANSWER_TIMEOUT, linger(stream)).await;
-    }
+async fn linger_briefly(stream: &TcpStream) {
+    // A client that does not stop by then is disconnected.
+    let _ = timeout(LAST_ANSWER_TIMEOUT, linger(stream)).await;
 }
--- a/crates/server/tests/testsuite/refusals.rs
+++ b/crates/server/tests/testsuite/refusals.rs
@@ -179,6 +179,30 @@
     }
 }
 
+/// An answer without a request would be taken for that to the next request.
+#[tokio::test]
+async fn an_idle_client_only_sees_its_connection_close() {
+    for first_request in ["", "POST / HTTP/1.1\r\nhost: z\r\ncontent-length: 1\r\n\r\nx"] {
+        let server = Server::start();
+        let mut stream = server.connect(first_request.as_bytes()).await;
+        server.wait_held(OPEN).await;
+        if !first_request.is_empty() {
+            let mut answer = Vec::new();
+            while !answer.ends_with(b"\r\n\r\n1") {
+                let read = timeout(PATIENCE, stream.read_buf(&mut answer)).await;
+                assert!(read.expect("an answer").expect("no reset") > 0);
+            }
+        }
+        // The connection must be idle before the time passes.
+        sleep(10 * POLL_INTERVAL).await;
+        server.clock.advance(LIMITS.idle_timeout);
+        assert_eq!(read_all(stream).await, "");
+        server.wait_held(0).await;
+        let counts = *server.counts.lock().expect("the lock is not poisoned");
+        assert_eq!(counts, AccountCounts::default(), "{first_request:?}");
+    }
+}
+
 #[tokio::test]
 async fn a_slow_body_is_served_while_there_is_room() {
     let server = Server::start();
