dispatch: leave room for connections whatever head a configuration allows

What callers saw: nothing yet; found by reading. Each connection counts for the largest head, and maxHeaderBytes of a configuration had no upper bound: with 100 MB no connection would have had room, and all callers would have got 503.

Change: the head counts, and is accepted, up to what leaves room for 64 connections.

Result: a_configuration_with_a_huge_head_leaves_room_for_connections failed before (the first connection had no room) and passes.

--- a/crates/dispatch/src/connections.rs
+++ b/crates/dispatch/src/connections.rs
@@ -17,6 +17,9 @@
 
 use cowslipwing_types::{ByteSize, SortedMap};
 
+/// Number of connections for which there is room whatever size of a head a configuration allows.
+const MIN_CONNECTIONS: u64 = 64;
+
 /// Identifies a connection of a listener. Later connections have higher ids.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct ConnectionId(u64);
@@ -168,14 +171,17 @@
         self.limits
     }
 
-    /// Replaces the limits of a request, which an operator's configuration may change.
+    /// Replaces the limits of a request, which an operator's configuration may change. The head is
+    /// limited to what leaves room for 64 connections.
     pub fn set_request_limits(
         &mut self,
         head: ByteSize,
         header_timeout: Duration,
         idle_timeout: Duration,
     ) {
-        self.limits.head = head;
+        let each = self.limits.memory.bytes() / MIN_CONNECTIONS;
+        let max_head = each.saturating_sub(self.limits.connection_memory.bytes());
+        self.limits.head = head.min(ByteSize::new(max_head));
         self.limits.header_timeout = header_timeout;
         self.limits.idle_timeout = idle_timeout;
     }
--- a/crates/dispatch/tests/testsuite/connections.rs
+++ b/crates/dispatch/tests/testsuite/connections.rs
@@ -238,6 +238,16 @@
     assert_eq!(table.phase(new), Some(ConnectionPhase::Serving));
 }
 
+#[test]
+fn a_configuration_with_a_huge_head_leaves_room_for_connections() {
+    let mut table = ConnectionTable::new(limits());
+    table.set_request_limits(ByteSize::new(1 << 30), ms(3000), ms(15_000));
+    for _ in 0..64 {
+        connect(&mut table, ms(0), ConnectionPhase::Serving);
+    }
+    assert!(table.limits().head.bytes() >= HEAD_BYTES);
+}
+
 /// Another entry forwards jobs, each of which is a call until its answer.
 #[test]
 fn a_peer_with_many_calls_keeps_its_place() {
