server: ignore connections that clients have aborted

An accept that fails because the client has gone closed a connection and paused, as if descriptors had run out. Linux does not report such connections for TCP; found by reading, not seen in a run, without a test of its own. Tests of the server pass.

--- a/crates/server/src/accept.rs
+++ b/crates/server/src/accept.rs
@@ -151,6 +151,8 @@
                     }
                     start(stream, self.account.open());
                 }
+                // The client has closed the connection, which says nothing about this process.
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(error) => {
                     log::debug!(
                         "http: event=accept-failed listener={} error=\"{error}\"",
