--- a/crates/server/src/body.rs
+++ b/crates/server/src/body.rs
@@ -1,13 +1,13 @@
 //! Reads the body of a request into memory that its connection holds.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use cowslipwing_types::ByteSize;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use snafu::Snafu;
 
-use std::sync::Arc;
-
 use crate::connection::{ClientConnection, Held};
 use crate::refusal::Refusal;
 
