--- a/review/tools-3/deployment.py
+++ b/review/tools-3/deployment.py
@@ -11,6 +11,7 @@
 import os
 import random
 import re
+import resource
 import signal
 import socket
 import struct
@@ -105,6 +106,9 @@
             daemon_threads = True
             request_queue_size = 64
 
+            def handle_error(self, request, client_address):
+                """An agent that is killed resets its connections."""
+
         self.server = Server((ip, 0), Handler)
         self.address = f"{ip}:{self.server.server_address[1]}"
         for target in (self.server.serve_forever, self.advance, self.beat):
@@ -193,13 +197,16 @@
                     elif lapsed:
                         self.end(task, "lapsed")
 
+    def heartbeat(self):
+        return {"service": SERVICE, "address": self.address, "zone": self.zone, "version": "v1",
+                "slots": 8, "state": "ready", "coldRemainingMs": 0, "labels": ["a", "r1"],
+                "capacity": {"cpu": self.cpu, "memoryLimitMb": 65536, "gpus": 0},
+                "clockMs": self.clock_ms(), "sequence": self.sequence, "born": self.born}
+
     def beat(self):
         while not self.closed:
             self.sequence += 1
-            body = {"service": SERVICE, "address": self.address, "zone": self.zone, "version": "v1",
-                    "slots": 8, "state": "ready", "coldRemainingMs": 0, "labels": ["a", "r1"],
-                    "capacity": {"cpu": self.cpu, "memoryLimitMb": 65536, "gpus": 0},
-                    "clockMs": self.clock_ms(), "sequence": self.sequence, "born": self.born}
+            body = self.heartbeat()
             try:
                 call((self.ip, BEAT_PORT), "PUT", f"/instances/{self.id}", body, timeout=1)
                 time.sleep(HEARTBEAT_S)
@@ -238,22 +245,38 @@
 
 
 class Daemon:
-    def __init__(self, role, ip, program, settings, log):
+    def __init__(self, role, ip, program, settings, log, descriptors=None):
         self.role, self.ip, self.program = role, ip, program
         self.settings, self.log, self.process = settings, log, None
+        self.descriptors = descriptors
 
     def start(self):
         log = open(self.log, "a")
         self.process = subprocess.Popen(
             [self.program, "--settings", self.settings], cwd=ROOT, stdin=subprocess.DEVNULL,
-            stdout=log, stderr=log)
+            stdout=log, stderr=log, preexec_fn=self.limit_descriptors)
+
+    def limit_descriptors(self):
+        """Limits the descriptors of the started process, as the platform does."""
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors))
+
+    def memory_mb(self):
+        """Returns the memory of the process, or 0 if it has ended."""
+        try:
+            with open(f"/proc/{self.process.pid}/status") as status:
+                lines = dict(line.split(":", 1) for line in status)
+            return int(lines["VmRSS"].split()[0]) / 1024
+        except (OSError, KeyError):
+            return 0
 
     def signal(self, number):
         self.process.send_signal(number)
 
 
 class Deployment:
-    def __init__(self, record, entries=4, agents=6, store_link=None, advertise=None):
+    def __init__(self, record, entries=4, agents=6, entry_limits=((260, 4100),)):
+        """Starts a deployment. `entry_limits` are the memory in MB and the descriptors of each entry; the
+        last ones hold for all further entries."""
         self.record = record
         self.dir = tempfile.TemporaryDirectory(prefix="review-")
         self.net = self.free_network()
@@ -273,14 +296,16 @@
             ip, is_entry = self.ip(number), number < entries
             role = "entry" if is_entry else "agent"
             zone = ZONES[number % len(ZONES)]
+            memory, descriptors = (128, 4096)
+            if is_entry:
+                memory, descriptors = entry_limits[min(number, len(entry_limits) - 1)]
             fields = {
                 "nodeName": f"{'frontend' if is_entry else 'side'}-{zone}-{number}", "zone": zone,
                 "ip": ip, "seedNodes": seeds, "internalPortRange": [PEER_PORT, PEER_PORT + 15],
                 "listenAddresses": {"frontend": f"{ip}:{CALLER_PORT}", "ready": f"{ip}:{READY_PORT}",
                                     "controlPlane": f"{ip}:{BEAT_PORT}"},
                 "platform": {"address": f"{self.store[0]}:{self.store[1]}"},
-                "limits": {"memoryMb": 260 if is_entry else 128,
-                           "maxFileDescriptors": 4100 if is_entry else 4096},
+                "limits": {"memoryMb": memory, "maxFileDescriptors": descriptors},
                 "bounds": {"maxHoldMs": MAX_HOLD_MS, "gracePeriodS": 6, "remotePenalty": 1.5},
             }
             if not is_entry:
@@ -293,7 +318,7 @@
             with open(settings, "w") as file:
                 file.write(text)
             log = os.path.join(self.dir.name, f"{role}-{number}.log")
-            daemon = Daemon(role, ip, program, settings, log)
+            daemon = Daemon(role, ip, program, settings, log, descriptors)
             (self.entries if is_entry else self.agents).append(daemon)
             self.children.append(daemon)
             daemon.start()
@@ -380,6 +405,35 @@
         self.record.add("delete-answer", job=job, entry=entry, status=status, body=text)
         return status
 
+    def kill_all(self, down_s):
+        """Kills all processes of the system at once and starts them again; returns the time at which the
+        machines were back."""
+        daemons = self.entries + self.agents
+        self.record.add("kill-all", processes=len(daemons))
+        for daemon in daemons:
+            daemon.signal(KILL)
+        for daemon in daemons:
+            daemon.process.wait()
+        time.sleep(down_s)
+        for daemon in daemons:
+            daemon.start()
+        return self.record.add("back", processes=len(daemons))
+
+    def served(self, count, pause_s=0.2):
+        """Sends short jobs to the entries in turn; returns how many of them are served."""
+        answers = []
+        body = {"taskSpec": "ms=200 cpu=3100", "bestEffort": True, "steps": [
+            {"count": 2, "cpu": 3100, "memoryLimitMb": 64, "estimatedRuntimeMs": 200}]}
+        posters = []
+        for number in range(count):
+            entry = number % len(self.entries)
+            posters.append(in_thread(
+                lambda entry=entry: answers.append(self.post(entry, new_id(), body, 1500)[0])))
+            time.sleep(pause_s)
+        for poster in posters:
+            poster.join()
+        return answers.count(200)
+
     def starts(self, job):
         return [e for e in self.record.of("start") if e["task"].startswith(job + ".")]
 
