--- a/review/tools-3/deployment.py
+++ b/review/tools-3/deployment.py
@@ -50,6 +50,8 @@
 
     def add(self, kind, **fields):
         with self.lock:
+            if self.file.closed:
+                return self.now()
             event = dict(at=self.now(), kind=kind, **fields)
             self.events.append(event)
             text = " ".join(f"{key}={value}" for key, value in fields.items())
@@ -57,6 +59,10 @@
             self.file.flush()
             return event["at"]
 
+    def close(self):
+        with self.lock:
+            self.file.close()
+
     def of(self, kind, **fields):
         with self.lock:
             return [e for e in self.events
@@ -469,11 +475,13 @@
     record = Record(os.path.join(folder, "record.txt"))
     try:
         broken = case(record, trouble)
-    except CannotRun as error:
-        record.add("cannot-run", error=str(error))
-        print(f"cannot run: {error}")
+    except Exception as error:  # A fault of the script says nothing about the rule.
+        record.add("cannot-run", error=repr(error))
+        record.close()
+        print(f"cannot run: {error!r}")
         sys.exit(2)
     record.add("verdict", broken=broken)
+    record.close()
     print(f"trouble={int(trouble)}: {'rule broken: ' + broken if broken else 'the rule held'}")
     sys.exit(1 if broken else 0)
 
